--- /dev/null
+++ b/modules/base/src/Log.cpp
@@ -0,0 +1,156 @@
+#include "Log.h"
+
+#include "Clock.h"
+#include "NameTable.h"
+#include "Ring.h"
+
+#include <atomic>
+#include <fmt/core.h>
+#include <memory>
+#include <semaphore>
+#include <thread>
+
+namespace sequoiastep {
+
+namespace {
+
+constexpr std::array<NameRow<LogLevel>, 4> kLevelNames{ {
+  { LogLevel::Debug, "debug" },
+  { LogLevel::Info, "info" },
+  { LogLevel::Warning, "warning" },
+  { LogLevel::Error, "error" },
+} };
+constexpr std::size_t kWaitingLines = 8192;
+
+struct LogQueue
+{
+  Ring<std::string> m_lines{ kWaitingLines };
+  std::counting_semaphore<> m_ready{ 0 };
+  std::atomic<bool> m_stopping{ false };
+  std::thread m_thread;
+};
+
+std::atomic<LogLevel> gLevel{ LogLevel::Info };
+std::unique_ptr<LogQueue> gQueue;
+
+void
+WriteLines(LogQueue& aQueue)
+{
+  std::uint64_t reported = 0;
+  while (!aQueue.m_stopping.load()) {
+    aQueue.m_ready.acquire();
+    while (auto line = aQueue.m_lines.TryPop()) {
+      fmt::print(stderr, "{}\n", *line);
+    }
+    const std::uint64_t refused = aQueue.m_lines.Refused();
+    if (refused != reported) {
+      fmt::print(stderr, "level=warning event=log_lines_dropped total={}\n", refused);
+      reported = refused;
+    }
+  }
+}
+
+bool
+NeedsQuotes(std::string_view aValue)
+{
+  for (const char c : aValue) {
+    if (c <= ' ' || c == '"' || c == '=' || c == '\\' || c == 0x7f) {
+      return true;
+    }
+  }
+  return aValue.empty();
+}
+
+void
+AppendQuoted(std::string& aText, std::string_view aValue)
+{
+  aText += '"';
+  for (const char c : aValue) {
+    if (c == '"' || c == '\\') {
+      aText += '\\';
+      aText += c;
+    } else if (static_cast<unsigned char>(c) < ' ' || c == 0x7f) {
+      aText += fmt::format("\\x{:02x}", static_cast<unsigned char>(c));
+    } else {
+      aText += c;
+    }
+  }
+  aText += '"';
+}
+
+} // namespace
+
+std::string_view
+NameOf(LogLevel aLevel)
+{
+  return NameIn(kLevelNames, aLevel);
+}
+
+LogThread::LogThread(LogLevel aLevel)
+{
+  gLevel.store(aLevel);
+  gQueue = std::make_unique<LogQueue>();
+  gQueue->m_thread = std::thread([] { WriteLines(*gQueue); });
+}
+
+LogThread::~LogThread()
+{
+  gQueue->m_stopping.store(true);
+  gQueue->m_ready.release();
+  gQueue->m_thread.join();
+  while (auto line = gQueue->m_lines.TryPop()) {
+    fmt::print(stderr, "{}\n", *line);
+  }
+  gQueue.reset();
+}
+
+LogLine::LogLine(LogLevel aLevel, std::string_view aEvent)
+  : m_enabled(aLevel >= gLevel.load(std::memory_order_relaxed))
+{
+  if (m_enabled) {
+    m_text = fmt::format(
+      "time_ms={} level={} event={}", Clock::UnixMilliseconds(), NameOf(aLevel), aEvent);
+  }
+}
+
+LogLine::~LogLine()
+{
+  if (!m_enabled) {
+    return;
+  }
+  if (!gQueue) {
+    fmt::print(stderr, "{}\n", m_text);
+    return;
+  }
+  if (gQueue->m_lines.TryPush(std::move(m_text))) {
+    gQueue->m_ready.release();
+  }
+}
+
+LogLine&
+LogLine::Add(std::string_view aKey, std::string_view aValue)
+{
+  if (!m_enabled) {
+    return *this;
+  }
+  m_text += ' ';
+  m_text += aKey;
+  m_text += '=';
+  if (NeedsQuotes(aValue)) {
+    AppendQuoted(m_text, aValue);
+  } else {
+    m_text += aValue;
+  }
+  return *this;
+}
+
+LogLine&
+LogLine::AddInteger(std::string_view aKey, std::int64_t aValue)
+{
+  if (m_enabled) {
+    m_text += fmt::format(" {}={}", aKey, aValue);
+  }
+  return *this;
+}
+
+} // namespace sequoiastep
--- /dev/null
+++ b/modules/cli/src/Commands.cpp
@@ -0,0 +1,217 @@
+#include "Commands.h"
+
+#include "CommandsPriv.h"
+#include "Documents.h"
+#include "Node.h"
+#include "Settings.h"
+
+#include <boost/json.hpp>
+#include <fmt/core.h>
+#include <fstream>
+#include <sstream>
+
+namespace sequoiastep::cli {
+
+namespace json = boost::json;
+
+namespace {
+
+struct Command
+{
+  CommandSpec m_spec;
+  ExitCode (*m_run)(const GivenOptions&);
+};
+
+const OptionSpec kNodeOption{ "node", "IP:PORT", "Admin address of any node (required)" };
+const OptionSpec kTokenOption{ "token", "TOKEN", "Admin token, if the node asks for one" };
+const OptionSpec kJsonOption{ "json", "", "Print the result as JSON" };
+const OptionSpec kBaseOption{ "base", "FILE", "Base document" };
+const OptionSpec kOverlayOption{ "overlay", "REGION=FILE", "Overlay of a region; repeatable" };
+
+const std::vector<Command>&
+AllCommands()
+{
+  static const std::vector<Command> kCommands{
+    { { "node",
+        "Run a node",
+        { { "settings", "FILE", "Settings file (required)" },
+          { "print-settings", "", "Print all settings, defaults included, and exit" } } },
+      RunNodeCommand },
+    { { "publish",
+        "Publish a base, overlays, or both, as one change",
+        { kNodeOption,
+          kBaseOption,
+          kOverlayOption,
+          { "expect", "VERSION", "Version the change is made for; the node's own if absent" },
+          { "publish-id", "ID", "Repeat an earlier publication whose outcome is not known" },
+          { "wait", "", "Wait until all nodes of all regions hold the version" },
+          kTokenOption,
+          kJsonOption } },
+      RunPublishCommand },
+    { { "status", "Show how far the mesh is", { kNodeOption, kJsonOption } }, RunStatusCommand },
+    { { "check",
+        "Check documents offline, as the mesh would",
+        { kBaseOption, kOverlayOption, kJsonOption } },
+      RunCheckCommand },
+    { { "drain", "Stop a node gracefully", { kNodeOption, kTokenOption, kJsonOption } },
+      RunDrainCommand },
+    { { "keys",
+        "Fetch idempotency keys from a node",
+        { { "node", "IP:PORT", "Caller address of the node (required)" },
+          { "count", "N", "Number of keys, 1 to 1000 (default 1)" },
+          kJsonOption } },
+      RunKeysCommand },
+  };
+  return kCommands;
+}
+
+void
+PrintOverview()
+{
+  fmt::print("Usage: sequoiastep COMMAND [OPTIONS]\n\n");
+  for (const Command& command : AllCommands()) {
+    fmt::print("  {:<10}{}\n", command.m_spec.m_name, command.m_spec.m_summary);
+  }
+  fmt::print("\nsequoiastep COMMAND --help shows the options of a command.\n"
+             "Exit codes: 0 done, 1 refused by the mesh, 2 usage or settings, 3 not reachable.\n");
+}
+
+} // namespace
+
+void
+PrintProblem(std::string_view aMessage)
+{
+  fmt::print(stderr, "sequoiastep: {}\n", aMessage);
+}
+
+ExitCode
+ReportError(const Error& aError)
+{
+  PrintProblem(aError.m_message);
+  switch (aError.m_kind) {
+    case ErrorKind::Unreachable:
+    case ErrorKind::PortInUse:
+      return ExitCode::Unreachable;
+    case ErrorKind::Refused:
+    case ErrorKind::BadDocument:
+    case ErrorKind::TooLarge:
+      return ExitCode::Refused;
+    default:
+      return ExitCode::Usage;
+  }
+}
+
+Output
+OutputOf(const GivenOptions& aOptions)
+{
+  return aOptions.Has("json") ? Output::Programs : Output::People;
+}
+
+std::optional<AdminResponse>
+AskNode(const GivenOptions& aOptions, AdminRequest aRequest, ExitCode& aExit)
+{
+  const auto address = aOptions.Value("node");
+  if (!address) {
+    PrintProblem("--node IP:PORT is required");
+    aExit = ExitCode::Usage;
+    return std::nullopt;
+  }
+  aRequest.m_address = *address;
+  aRequest.m_token = aOptions.Value("token").value_or("");
+  return Handle(
+    [&]() -> Result<std::optional<AdminResponse>> {
+      BOOST_LEAF_AUTO(response, SendAdminRequest(aRequest));
+      return std::optional<AdminResponse>(std::move(response));
+    },
+    [&](const Error& aError) {
+      aExit = ReportError(aError);
+      return std::optional<AdminResponse>();
+    });
+}
+
+json::object
+ParseAnswer(const std::string& aText)
+{
+  boost::system::error_code error;
+  json::value value = json::parse(aText, error);
+  return !error && value.is_object() ? std::move(value.as_object()) : json::object();
+}
+
+bool
+SplitOverlay(const std::string& aText, std::string& aRegion, std::string& aFile)
+{
+  const std::size_t equals = aText.find('=');
+  if (equals == std::string::npos || equals == 0 || equals + 1 == aText.size()) {
+    PrintProblem(fmt::format("--overlay '{}': write REGION=FILE", aText));
+    return false;
+  }
+  aRegion = aText.substr(0, equals);
+  aFile = aText.substr(equals + 1);
+  return true;
+}
+
+Result<json::object>
+ReadDocument(const std::string& aPath)
+{
+  std::ifstream file(aPath, std::ios::binary);
+  std::ostringstream text;
+  text << file.rdbuf();
+  if (!file) {
+    return Fail(ErrorKind::BadSettings,
+                fmt::format("can't read '{}'; check the path and its permissions", aPath));
+  }
+  return config::ParseObject(text.str(), aPath);
+}
+
+ExitCode
+RunNodeCommand(const GivenOptions& aOptions)
+{
+  const auto path = aOptions.Value("settings");
+  if (!path) {
+    PrintProblem("--settings FILE is required");
+    return ExitCode::Usage;
+  }
+  const auto run = [&]() -> Result<ExitCode> {
+    BOOST_LEAF_AUTO(settings, node::ReadSettings(*path));
+    if (aOptions.Has("print-settings")) {
+      fmt::print("{}\n", node::SettingsText(settings));
+      return ExitCode::Done;
+    }
+    const LogThread logThread(settings.m_logLevel);
+    BOOST_LEAF_CHECK(node::RunNode(settings));
+    return ExitCode::Done;
+  };
+  return Handle(run, [](const Error& aError) {
+    const ExitCode code = ReportError(aError);
+    return code == ExitCode::Unreachable ? code : ExitCode::Usage;
+  });
+}
+
+ExitCode
+RunCommand(int aCount, const char** aArguments)
+{
+  const std::string_view name = aCount > 1 ? aArguments[1] : "";
+  if (name == "--help" || name == "-?" || name == "help") {
+    PrintOverview();
+    return ExitCode::Done;
+  }
+  for (const Command& command : AllCommands()) {
+    if (command.m_spec.m_name != name) {
+      continue;
+    }
+    const ParsedOptions parsed = ParseOptions(command.m_spec, aCount - 1, aArguments + 1);
+    if (parsed.m_helpShown) {
+      return ExitCode::Done;
+    }
+    if (!parsed.m_given) {
+      PrintProblem(fmt::format("{}; see sequoiastep {} --help", parsed.m_problem, name));
+      return ExitCode::Usage;
+    }
+    return command.m_run(*parsed.m_given);
+  }
+  PrintProblem(name.empty() ? "name a command; see sequoiastep --help"
+                            : fmt::format("unknown command '{}'; see sequoiastep --help", name));
+  return ExitCode::Usage;
+}
+
+} // namespace sequoiastep::cli
--- /dev/null
+++ b/modules/distribution/src/Controller.cpp
@@ -0,0 +1,205 @@
+#include "Controller.h"
+
+#include "ControllerPriv.h"
+
+#include <algorithm>
+
+namespace sequoiastep::distribution {
+
+using membership::Member;
+using membership::MemberState;
+
+namespace {
+
+// Spreads the first directory entries of nodes that start together.
+constexpr std::uint64_t kFirstDirectoryJitterMs = 3000;
+
+void
+HandleMessage(Turn& aTurn, std::string_view aNode, const wire::EnvelopeT& aMessage)
+{
+  Link* link = FindLink(aTurn.m_controller, aNode);
+  if (link == nullptr) {
+    return; // The link was replaced or closed while the message waited.
+  }
+  link->m_lastHeard = aTurn.m_now;
+  const wire::BodyUnion& body = aMessage.body;
+  switch (body.type) {
+    case wire::Body::Heartbeat:
+      return HandleHeartbeat(aTurn, aNode, *body.AsHeartbeat());
+    case wire::Body::ConfigRecord:
+      return HandleRecord(aTurn, aNode, *body.AsConfigRecord());
+    case wire::Body::Pull:
+      return HandlePull(aTurn, aNode, *body.AsPull());
+    case wire::Body::Whole:
+      return HandleWhole(aTurn, aNode, *body.AsWhole());
+    case wire::Body::MemberUpdate:
+      return HandleMemberUpdate(aTurn, aNode, *body.AsMemberUpdate());
+    case wire::Body::MemberDigests:
+      return HandleMemberDigests(aTurn, aNode, *body.AsMemberDigests());
+    case wire::Body::Accusation:
+      return HandleAccusation(aTurn, *body.AsAccusation());
+    case wire::Body::Join:
+      return HandleJoin(aTurn, aNode, *body.AsJoin());
+    case wire::Body::JoinBusy:
+      return HandleJoinBusy(aTurn, aNode, *body.AsJoinBusy());
+    case wire::Body::JoinDone:
+      return HandleJoinDone(aTurn, aNode, *body.AsJoinDone());
+    default:
+      return; // Calls travel on connections of their own.
+  }
+}
+
+void
+HandleTargetChanged(Turn& aTurn, const TargetChanged& aChange)
+{
+  Controller& controller = aTurn.m_controller;
+  Member entry = Self(controller);
+  entry.m_service = aChange.m_service;
+  entry.m_slots = aChange.m_slots;
+  entry.m_warmUpMs = aChange.m_warmUpMs;
+  if (controller.m_phase == JoinPhase::Joined && !controller.m_left) {
+    const bool draining = aChange.m_draining || controller.m_draining;
+    entry.m_state = draining ? MemberState::Draining : MemberState::Up;
+  }
+  AnnounceSelf(aTurn, entry);
+  FlushMembers(aTurn);
+}
+
+void
+HandleDrainRequested(Turn& aTurn)
+{
+  Controller& controller = aTurn.m_controller;
+  if (controller.m_draining) {
+    return;
+  }
+  controller.m_draining = true;
+  Member entry = Self(controller);
+  entry.m_state = MemberState::Draining;
+  AnnounceSelf(aTurn, entry);
+  FlushMembers(aTurn);
+}
+
+void
+HandleLeaveRequested(Turn& aTurn)
+{
+  aTurn.m_controller.m_left = true;
+  Member entry = Self(aTurn.m_controller);
+  entry.m_state = MemberState::Gone;
+  AnnounceSelf(aTurn, entry);
+  FlushMembers(aTurn);
+}
+
+void
+HandleTick(Turn& aTurn)
+{
+  TickPause(aTurn);
+  TickJoin(aTurn);
+  TickMembers(aTurn);
+  TickLinks(aTurn);
+  TickLog(aTurn);
+  TickPublishes(aTurn);
+  FlushMembers(aTurn);
+  TickHeartbeats(aTurn);
+  aTurn.m_controller.m_lastTick = aTurn.m_now;
+}
+
+// Dispatches one event to its handler.
+struct Dispatch
+{
+  Turn& m_turn;
+
+  void operator()(const LinkOpened& aEvent) { HandleLinkOpened(m_turn, aEvent); }
+  void operator()(const LinkClosed& aEvent) { HandleLinkClosed(m_turn, aEvent); }
+  void operator()(const ConnectFailed& aEvent) { HandleConnectFailed(m_turn, aEvent); }
+  void operator()(const MessageReceived& aEvent)
+  {
+    HandleMessage(m_turn, aEvent.m_node, aEvent.m_message);
+  }
+  void operator()(const ConfigRead& aEvent) { HandleConfigRead(m_turn, aEvent); }
+  void operator()(const ConfigExpired& aEvent) { HandleConfigExpired(m_turn, aEvent); }
+  void operator()(const ConfigReadFailed&) { HandleConfigReadFailed(m_turn); }
+  void operator()(const CheckpointsRead& aEvent) { HandleCheckpointsRead(m_turn, aEvent); }
+  void operator()(const DirectoryRead& aEvent) { HandleDirectoryRead(m_turn, aEvent); }
+  void operator()(const PublicationAppended& aEvent) { HandlePublicationAppended(m_turn, aEvent); }
+  void operator()(const PublishRequested& aEvent) { HandlePublishRequested(m_turn, aEvent); }
+  void operator()(const TargetChanged& aEvent) { HandleTargetChanged(m_turn, aEvent); }
+  void operator()(const VersionWanted& aEvent) { HandleVersionWanted(m_turn, aEvent); }
+  void operator()(const DrainRequested&) { HandleDrainRequested(m_turn); }
+  void operator()(const LeaveRequested&) { HandleLeaveRequested(m_turn); }
+  void operator()(const Tick&) { HandleTick(m_turn); }
+};
+
+} // namespace
+
+Milliseconds
+NextDelay(Random& aRandom, Milliseconds aPrevious, Milliseconds aLeast, Milliseconds aMost)
+{
+  const Milliseconds most = std::min(aMost, std::max(aLeast, aPrevious) * 3);
+  const auto span = static_cast<std::uint64_t>(std::max<Milliseconds>(1, most - aLeast));
+  return aLeast + static_cast<Milliseconds>(aRandom.Below(span));
+}
+
+Controller
+MakeController(const ControllerOptions& aOptions, Instant aNow)
+{
+  Controller controller;
+  controller.m_options = aOptions;
+  controller.m_random.m_state = aOptions.m_seed;
+  controller.m_table.m_self = aOptions.m_node;
+  controller.m_detector.m_options = aOptions.m_detector;
+  controller.m_replay = config::MakeEmptyState();
+  controller.m_startedAt = aNow;
+  controller.m_phaseSince = aNow;
+  controller.m_lastTick = aNow;
+  controller.m_lastCheckpoint = aNow;
+  controller.m_nextDirectory =
+    aNow + static_cast<Milliseconds>(controller.m_random.Below(kFirstDirectoryJitterMs));
+  controller.m_nextGoneProbe = aNow;
+  controller.m_logJoinJitterMs = static_cast<Milliseconds>(
+    controller.m_random.Below(static_cast<std::uint64_t>(aOptions.m_joinWaitMs)));
+  const Member entry{ .m_node = aOptions.m_node,
+                      .m_incarnation = aOptions.m_incarnation,
+                      .m_counter = 0,
+                      .m_state = MemberState::Starting,
+                      .m_address = aOptions.m_address,
+                      .m_region = aOptions.m_region,
+                      .m_failureDomain = aOptions.m_failureDomain,
+                      .m_service = {},
+                      .m_slots = 0,
+                      .m_warmUpMs = 0 };
+  membership::UpdateSelf(controller.m_table, entry, aNow);
+  return controller;
+}
+
+Actions
+Step(Controller& aController, Event aEvent, Instant aNow)
+{
+  Actions actions;
+  Turn turn{ .m_controller = aController, .m_now = aNow, .m_actions = actions };
+  std::visit(Dispatch{ turn }, aEvent);
+  UpdateReadiness(turn);
+  if (aController.m_membersChanged) {
+    aController.m_membersChanged = false;
+    actions.emplace_back(MembersChanged{});
+  }
+  return actions;
+}
+
+const Member&
+Self(const Controller& aController)
+{
+  return aController.m_table.m_members.find(aController.m_table.m_self)->second.m_member;
+}
+
+std::size_t
+ReaderRank(const Controller& aController)
+{
+  const auto readers = aController.m_topology.m_readers.find(aController.m_options.m_region);
+  if (readers == aController.m_topology.m_readers.end()) {
+    return static_cast<std::size_t>(-1);
+  }
+  const std::size_t rank = RankIn(readers->second, aController.m_table.m_self);
+  return rank == readers->second.size() ? static_cast<std::size_t>(-1) : rank;
+}
+
+} // namespace sequoiastep::distribution
--- /dev/null
+++ b/modules/distribution/src/ControllerJoin.cpp
@@ -0,0 +1,235 @@
+// Joining: peers first, the log last, ready only at the floor; and checks after a pause.
+#include "ControllerPriv.h"
+#include "Log.h"
+
+#include <algorithm>
+
+namespace sequoiastep::distribution {
+
+using membership::Member;
+using membership::MemberState;
+
+namespace {
+
+constexpr Milliseconds kJoinAnswerMs = 2000;
+constexpr Milliseconds kDirectoryAgainLeastMs = 500;
+constexpr Milliseconds kDirectoryAgainMostMs = 4000;
+constexpr Milliseconds kBusyLeastMs = 200;
+constexpr std::uint64_t kBusySpreadMs = 800;
+constexpr Milliseconds kPauseCheckMostMs = 2000;
+constexpr Milliseconds kJoinWindowMs = 1000;
+
+} // namespace
+
+void
+AskDirectory(Turn& aTurn)
+{
+  Controller& controller = aTurn.m_controller;
+  if (controller.m_directoryAsked || aTurn.m_now < controller.m_directoryRetryAt) {
+    return;
+  }
+  controller.m_directoryAsked = true;
+  aTurn.m_actions.emplace_back(ReadDirectory{});
+}
+
+namespace {
+
+void
+SearchPeers(Turn& aTurn)
+{
+  Controller& controller = aTurn.m_controller;
+  for (const std::string& hint : controller.m_options.m_hints) {
+    DialAddress(aTurn, hint);
+  }
+  const bool hintsFailed = aTurn.m_now - controller.m_startedAt > kJoinAnswerMs / 2;
+  if (controller.m_options.m_hints.empty() || hintsFailed) {
+    AskDirectory(aTurn);
+  }
+  if (!controller.m_links.empty() && aTurn.m_now >= controller.m_joinRetryAt) {
+    auto peer = controller.m_links.begin();
+    std::advance(peer, controller.m_random.Below(controller.m_links.size()));
+    AskToJoin(aTurn, peer->first);
+    controller.m_joinRetryAt = aTurn.m_now + kJoinAnswerMs;
+  }
+}
+
+void
+TurnToLog(Turn& aTurn)
+{
+  Controller& controller = aTurn.m_controller;
+  controller.m_phase = JoinPhase::FromLog;
+  controller.m_phaseSince = aTurn.m_now;
+  LogLine(LogLevel::Info, "join_from_log").Add("reason", "no peer answered");
+  aTurn.m_actions.emplace_back(ReadCheckpoints{});
+}
+
+} // namespace
+
+void
+AskToJoin(Turn& aTurn, std::string_view aNode)
+{
+  Controller& controller = aTurn.m_controller;
+  if (controller.m_phase == JoinPhase::Searching) {
+    controller.m_phase = JoinPhase::Joining;
+    controller.m_phaseSince = aTurn.m_now;
+    controller.m_joinPeer = aNode;
+  }
+  wire::JoinT join;
+  join.applied = controller.m_replay->m_position;
+  SendTo(aTurn, aNode, ShareMessage(std::move(join)));
+}
+
+void
+HandleJoin(Turn& aTurn, std::string_view aNode, const wire::JoinT& aJoin)
+{
+  Controller& controller = aTurn.m_controller;
+  if (aTurn.m_now - controller.m_joinWindow >= kJoinWindowMs) {
+    controller.m_joinWindow = aTurn.m_now;
+    controller.m_joinsInWindow = 0;
+  }
+  const bool full = controller.m_joinsInWindow >= controller.m_options.m_joinsPerSecond;
+  if (full || controller.m_phase != JoinPhase::Joined) {
+    ++controller.m_counters.m_joinsDeferred;
+    wire::JoinBusyT busy;
+    busy.retry_after_ms =
+      static_cast<std::uint32_t>(kBusyLeastMs + controller.m_random.Below(kBusySpreadMs));
+    SendTo(aTurn, aNode, ShareMessage(std::move(busy)));
+    return;
+  }
+  ++controller.m_joinsInWindow;
+  ++controller.m_counters.m_joinsAnswered;
+  SendAllMembers(aTurn, aNode);
+  SendConfigAfter(aTurn, aNode, aJoin.applied, false);
+  wire::JoinDoneT done;
+  done.floor = controller.m_replay->m_position;
+  SendTo(aTurn, aNode, ShareMessage(std::move(done)));
+}
+
+void
+HandleJoinBusy(Turn& aTurn, std::string_view aNode, const wire::JoinBusyT& aBusy)
+{
+  Controller& controller = aTurn.m_controller;
+  if (controller.m_phase == JoinPhase::Joining && controller.m_joinPeer == aNode) {
+    controller.m_phase = JoinPhase::Searching;
+    controller.m_joinRetryAt =
+      aTurn.m_now + std::min<Milliseconds>(aBusy.retry_after_ms, kJoinAnswerMs);
+  }
+}
+
+void
+HandleJoinDone(Turn& aTurn, std::string_view, const wire::JoinDoneT& aDone)
+{
+  Controller& controller = aTurn.m_controller;
+  controller.m_floor = std::max(controller.m_floor, aDone.floor);
+  if (controller.m_phase != JoinPhase::Joined &&
+      controller.m_replay->m_position >= controller.m_floor) {
+    FinishJoin(aTurn);
+  }
+}
+
+void
+HandleDirectoryRead(Turn& aTurn, const DirectoryRead& aRead)
+{
+  Controller& controller = aTurn.m_controller;
+  controller.m_directoryAsked = false;
+  controller.m_directoryDelayMs = NextDelay(controller.m_random,
+                                            controller.m_directoryDelayMs,
+                                            kDirectoryAgainLeastMs,
+                                            kDirectoryAgainMostMs);
+  controller.m_directoryRetryAt = aTurn.m_now + controller.m_directoryDelayMs;
+  std::set<std::string, std::less<>> known;
+  for (const auto& [node, record] : controller.m_table.m_members) {
+    if (controller.m_phase == JoinPhase::Joined && membership::IsLive(record.m_member.m_state)) {
+      known.insert(record.m_member.m_address);
+    }
+  }
+  for (const std::string& address : aRead.m_addresses) {
+    if (!known.contains(address)) {
+      DialAddress(aTurn, address);
+    }
+  }
+}
+
+void
+FinishJoin(Turn& aTurn)
+{
+  Controller& controller = aTurn.m_controller;
+  LogLine(LogLevel::Info, "joined")
+    .Add("from", controller.m_phase == JoinPhase::FromLog ? "log" : "peer")
+    .Add("position", controller.m_replay->m_position)
+    .Add("members", controller.m_table.m_members.size());
+  controller.m_phase = JoinPhase::Joined;
+  controller.m_phaseSince = aTurn.m_now;
+  Member entry = Self(controller);
+  entry.m_state = controller.m_draining ? MemberState::Draining : MemberState::Up;
+  AnnounceSelf(aTurn, entry);
+}
+
+void
+TickJoin(Turn& aTurn)
+{
+  Controller& controller = aTurn.m_controller;
+  const Milliseconds inPhase = aTurn.m_now - controller.m_phaseSince;
+  switch (controller.m_phase) {
+    case JoinPhase::Searching:
+      SearchPeers(aTurn);
+      if (aTurn.m_now - controller.m_startedAt >
+          controller.m_options.m_joinWaitMs + controller.m_logJoinJitterMs) {
+        TurnToLog(aTurn);
+      }
+      break;
+    case JoinPhase::Joining:
+      if (inPhase > kJoinAnswerMs) {
+        controller.m_phase = JoinPhase::Searching;
+        controller.m_joinRetryAt = aTurn.m_now;
+      }
+      break;
+    case JoinPhase::FromLog:
+      SearchPeers(aTurn); // A peer that answers is as good as the log.
+      break;
+    case JoinPhase::Joined:
+      if (controller.m_links.empty()) {
+        AskDirectory(aTurn); // Nodes that started alone find each other.
+      }
+      break;
+  }
+}
+
+void
+TickPause(Turn& aTurn)
+{
+  Controller& controller = aTurn.m_controller;
+  if (aTurn.m_now - controller.m_lastTick > controller.m_options.m_pauseMs) {
+    ++controller.m_counters.m_pauses;
+    controller.m_mustCheckPeers = true;
+    controller.m_pausedAt = aTurn.m_now;
+    controller.m_checkNonce = controller.m_random.Next() | 1U;
+    LogLine(LogLevel::Warning, "process_was_paused")
+      .Add("gap_ms", aTurn.m_now - controller.m_lastTick);
+    for (auto& [node, link] : controller.m_links) {
+      link.m_lastHeard = aTurn.m_now; // The silence was this node's own.
+      wire::PullT pull;
+      pull.applied = controller.m_replay->m_position;
+      pull.nonce = controller.m_checkNonce;
+      SendTo(aTurn, node, ShareMessage(std::move(pull)));
+    }
+  }
+  if (controller.m_mustCheckPeers && aTurn.m_now - controller.m_pausedAt > kPauseCheckMostMs) {
+    LogLine(LogLevel::Warning, "pause_check_unanswered");
+    controller.m_mustCheckPeers = false;
+  }
+}
+
+void
+UpdateReadiness(Turn& aTurn)
+{
+  Controller& controller = aTurn.m_controller;
+  const bool ready = controller.m_phase == JoinPhase::Joined && !controller.m_mustCheckPeers &&
+                     controller.m_replay->m_position >= controller.m_floor && !controller.m_left;
+  if (ready != controller.m_ready) {
+    controller.m_ready = ready;
+    aTurn.m_actions.emplace_back(ReadinessChanged{ .m_ready = ready });
+  }
+}
+
+} // namespace sequoiastep::distribution
--- /dev/null
+++ b/modules/distribution/src/Topology.cpp
@@ -0,0 +1,218 @@
+#include "Topology.h"
+
+#include "Hash.h"
+
+#include <algorithm>
+
+namespace sequoiastep::distribution {
+
+using membership::Member;
+using membership::MemberState;
+
+namespace {
+
+constexpr std::uint64_t kReaderSeed = 0x5eadULL;
+constexpr std::uint64_t kTreeSeed = 0x73eeULL;
+constexpr std::uint64_t kCheckpointSeed = 0xc4ecULL;
+
+void
+SortByRank(std::vector<std::string>& aNodes, std::uint64_t aSeed)
+{
+  std::vector<std::pair<std::uint64_t, std::string>> ranked;
+  ranked.reserve(aNodes.size());
+  for (std::string& node : aNodes) {
+    const std::uint64_t rank = Hash64(node, aSeed);
+    ranked.emplace_back(rank, std::move(node));
+  }
+  std::sort(ranked.begin(), ranked.end());
+  for (std::size_t i = 0; i < ranked.size(); ++i) {
+    aNodes[i] = std::move(ranked[i].second);
+  }
+}
+
+const std::vector<std::string>&
+OrderOf(const Topology& aTopology, const Member& aSelf)
+{
+  static const std::vector<std::string> kNone;
+  const auto found = aTopology.m_domains.find(
+    { .m_region = aSelf.m_region, .m_failureDomain = aSelf.m_failureDomain });
+  return found == aTopology.m_domains.end() ? kNone : found->second;
+}
+
+// The neighbours of a node on a ring sorted by a hash of its own: a random-looking graph in which
+// every node is chosen about as often.
+void
+AddChords(std::set<std::string, std::less<>>& aLinks,
+          const std::vector<std::string>& aOrder,
+          const Member& aSelf,
+          std::size_t aChords)
+{
+  std::vector<std::pair<std::uint64_t, std::string_view>> ranked;
+  const std::uint64_t seed = Hash64(aSelf.m_node, kTreeSeed);
+  for (const std::string& node : aOrder) {
+    if (node != aSelf.m_node && !aLinks.contains(node)) {
+      ranked.emplace_back(Hash64(node, seed), node);
+    }
+  }
+  const std::size_t count = std::min(aChords, ranked.size());
+  std::partial_sort(
+    ranked.begin(), ranked.begin() + static_cast<std::ptrdiff_t>(count), ranked.end());
+  for (std::size_t i = 0; i < count; ++i) {
+    aLinks.emplace(ranked[i].second);
+  }
+}
+
+std::size_t
+ReaderRank(const Topology& aTopology, const Member& aSelf)
+{
+  const auto readers = aTopology.m_readers.find(aSelf.m_region);
+  if (readers == aTopology.m_readers.end()) {
+    return static_cast<std::size_t>(-1);
+  }
+  return RankIn(readers->second, aSelf.m_node);
+}
+
+void
+AddAll(std::set<std::string, std::less<>>& aLinks, const std::vector<std::string>& aNodes)
+{
+  aLinks.insert(aNodes.begin(), aNodes.end());
+}
+
+void
+AddReaderLinks(std::set<std::string, std::less<>>& aLinks,
+               const Topology& aTopology,
+               const Member& aSelf,
+               const TopologyOptions& aOptions,
+               const std::set<DomainKey>& aDark)
+{
+  for (const auto& [key, order] : aTopology.m_domains) {
+    if (key.m_region == aSelf.m_region) {
+      const std::size_t count =
+        aDark.contains(key) ? aOptions.m_probesOfDarkDomain : aOptions.m_heads;
+      AddAll(aLinks, FirstOthers(order, count, aSelf.m_node));
+    }
+  }
+  for (const auto& [region, order] : aTopology.m_readers) {
+    const bool home = region == aSelf.m_region;
+    // Two across each region link suffice: the third would only cost paid bytes.
+    AddAll(aLinks, FirstOthers(order, home ? aOptions.m_readers : 2, aSelf.m_node));
+  }
+}
+
+} // namespace
+
+Topology
+MakeTopology(const membership::MemberTable& aTable)
+{
+  Topology topology;
+  std::uint64_t bestCheckpointRank = 0;
+  for (const auto& [node, record] : aTable.m_members) {
+    const Member& member = record.m_member;
+    if (!membership::IsLive(member.m_state) || member.m_state == MemberState::Draining) {
+      continue;
+    }
+    topology.m_readers[member.m_region].push_back(node);
+    topology.m_domains[{ member.m_region, member.m_failureDomain }].push_back(node);
+    const std::uint64_t rank = Hash64(node, kCheckpointSeed);
+    if (topology.m_checkpointWriter.empty() || rank < bestCheckpointRank) {
+      bestCheckpointRank = rank;
+      topology.m_checkpointWriter = node;
+    }
+  }
+  for (auto& [region, order] : topology.m_readers) {
+    SortByRank(order, kReaderSeed);
+  }
+  for (auto& [key, order] : topology.m_domains) {
+    SortByRank(order, kTreeSeed);
+  }
+  return topology;
+}
+
+std::size_t
+RankIn(const std::vector<std::string>& aOrder, std::string_view aNode)
+{
+  const auto found = std::find(aOrder.begin(), aOrder.end(), aNode);
+  return static_cast<std::size_t>(found - aOrder.begin());
+}
+
+std::vector<std::string>
+FirstOthers(const std::vector<std::string>& aOrder, std::size_t aCount, std::string_view aSelf)
+{
+  std::vector<std::string> first;
+  for (const std::string& node : aOrder) {
+    if (first.size() == aCount) {
+      break;
+    }
+    if (node != aSelf) {
+      first.push_back(node);
+    }
+  }
+  return first;
+}
+
+std::string
+TreeParent(const std::vector<std::string>& aOrder, std::string_view aNode, std::size_t aFanOut)
+{
+  const std::size_t rank = RankIn(aOrder, aNode);
+  if (rank == 0 || rank >= aOrder.size()) {
+    return {};
+  }
+  return aOrder[(rank - 1) / aFanOut];
+}
+
+std::vector<std::string>
+TreeChildren(const std::vector<std::string>& aOrder, std::string_view aNode, std::size_t aFanOut)
+{
+  const std::size_t rank = RankIn(aOrder, aNode);
+  std::vector<std::string> children;
+  if (rank >= aOrder.size()) {
+    return children;
+  }
+  const std::size_t first = rank * aFanOut + 1;
+  for (std::size_t i = first; i < first + aFanOut && i < aOrder.size(); ++i) {
+    children.push_back(aOrder[i]);
+  }
+  return children;
+}
+
+std::set<std::string, std::less<>>
+DesiredLinks(const Topology& aTopology,
+             const Member& aSelf,
+             const TopologyOptions& aOptions,
+             const std::set<DomainKey>& aDark)
+{
+  std::set<std::string, std::less<>> links;
+  const std::vector<std::string>& order = OrderOf(aTopology, aSelf);
+  AddAll(links, TreeChildren(order, aSelf.m_node, aOptions.m_fanOut));
+  const std::string parent = TreeParent(order, aSelf.m_node, aOptions.m_fanOut);
+  if (!parent.empty()) {
+    links.insert(parent);
+  }
+  AddChords(links, order, aSelf, aOptions.m_chords);
+  const auto readers = aTopology.m_readers.find(aSelf.m_region);
+  if (readers != aTopology.m_readers.end() &&
+      RankIn(order, aSelf.m_node) < std::min(aOptions.m_heads, order.size())) {
+    AddAll(links, FirstOthers(readers->second, aOptions.m_readers, aSelf.m_node));
+  }
+  if (ReaderRank(aTopology, aSelf) < aOptions.m_readers) {
+    AddReaderLinks(links, aTopology, aSelf, aOptions, aDark);
+  }
+  return links;
+}
+
+std::vector<std::string>
+ReaderTargets(const Topology& aTopology, const Member& aSelf, const TopologyOptions& aOptions)
+{
+  std::vector<std::string> targets;
+  for (const auto& [key, order] : aTopology.m_domains) {
+    if (key.m_region != aSelf.m_region) {
+      continue;
+    }
+    for (std::string& node : FirstOthers(order, aOptions.m_heads, aSelf.m_node)) {
+      targets.push_back(std::move(node));
+    }
+  }
+  return targets;
+}
+
+} // namespace sequoiastep::distribution
--- /dev/null
+++ b/modules/node/include/Settings.h
@@ -0,0 +1,90 @@
+/// @file
+/// Settings of a node: a JSON file, wholly checked at start.
+#pragma once
+
+#include "Error.h"
+#include "Log.h"
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace sequoiastep::node {
+
+/// Bounds on what one node takes and holds.
+struct Limits
+{
+  std::uint64_t m_maxBodyBytes = 8U << 20;
+  std::uint64_t m_maxHeaderBytes = 16U << 10;
+  std::uint64_t m_maxConnections = 4096;
+  /// Calls in progress that entered at this node.
+  std::uint64_t m_maxCalls = 4096;
+  std::uint64_t m_joinsPerSecond = 8;
+  std::uint64_t m_rememberedKeys = 20'000;
+  std::uint64_t m_rememberedAnswerBytes = 4U << 20;
+};
+
+/// Times, in milliseconds.
+struct Timings
+{
+  std::uint64_t m_heartbeatMs = 1000;
+  std::uint64_t m_suspectAfterMs = 2500;
+  std::uint64_t m_joinWaitMs = 2000;
+  std::uint64_t m_publishWaitMs = 2500;
+  std::uint64_t m_checkpointEveryMs = 300'000;
+  std::uint64_t m_directoryEveryMs = 60'000;
+  std::uint64_t m_logWaitMs = 2000;
+  /// Longest hold of a call whose version this node does not have yet.
+  std::uint64_t m_versionHoldMs = 200;
+  /// Longest time from a stop request to the exit.
+  std::uint64_t m_drainMs = 10'000;
+  /// Time between announcing that the node leaves and refusing work, so that peers learn it.
+  std::uint64_t m_drainNoticeMs = 500;
+};
+
+/// Sizes of the link graph.
+struct Links
+{
+  std::uint64_t m_fanOut = 4;
+  std::uint64_t m_chords = 2;
+};
+
+/// All settings of a node. Addresses are IP:PORT.
+struct Settings
+{
+  std::string m_mesh;
+  std::string m_node;
+  std::string m_region;
+  std::string m_failureDomain;
+  std::string m_callerListen;
+  std::string m_targetListen;
+  std::string m_adminListen;
+  /// Bearer token for admin requests that change state; none is asked for if empty.
+  std::string m_adminToken;
+  std::string m_peerListen;
+  std::vector<std::string> m_peerHints;
+  std::string m_platformLog;
+  /// Share of calls that are traced if the caller does not say.
+  double m_traceSample = 0;
+  LogLevel m_logLevel = LogLevel::Info;
+  Limits m_limits;
+  Timings m_timings;
+  Links m_links;
+};
+
+/// Parses and checks the text of a settings file.
+/// @return the settings, or BadSettings that names the key and the remedy.
+Result<Settings>
+ParseSettings(std::string_view aText);
+
+/// Reads and checks a settings file.
+/// @return the settings, or BadSettings.
+Result<Settings>
+ReadSettings(const std::string& aPath);
+
+/// @return aSettings as JSON with every key, defaults included; the token is not shown.
+std::string
+SettingsText(const Settings& aSettings);
+
+} // namespace sequoiastep::node
--- /dev/null
+++ b/modules/node/src/CallsDuty.h
@@ -0,0 +1,106 @@
+/// @file
+/// The duty of the calls thread: callers in, the target beside the node, links to other nodes.
+#pragma once
+
+#include "AsioTypes.h"
+#include "CallLinks.h"
+#include "Events.h"
+#include "HttpServer.h"
+#include "Picker.h"
+#include "Random.h"
+#include "Retry.h"
+#include "Settings.h"
+#include "Shared.h"
+#include "TargetApi.h"
+#include "TargetRunner.h"
+#include "Trace.h"
+
+#include <boost/accumulators/accumulators.hpp>
+#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
+#include <boost/accumulators/statistics/stats.hpp>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+
+namespace sequoiastep::node {
+
+/// One call on its way through this node.
+struct CallJob;
+
+/// Everything here runs on the calls thread, but for the constructor.
+class CallsDuty
+{
+public:
+  /// Tells the control thread.
+  using Notify = std::function<void(distribution::Event)>;
+
+  CallsDuty(net::asio::io_context& aContext,
+            const Settings& aSettings,
+            Identity aIdentity,
+            Shared& aShared,
+            Notify aNotify);
+
+  /// Starts to listen.
+  /// @return success, or PortInUse.
+  Result<void> Listen();
+  /// Takes an accepted connection for calls over.
+  void TakeCallSocket(int aDescriptor, const wire::HelloT& aHello);
+  /// First part of a stop: callers are asked to go elsewhere with each response.
+  void BeginDrain();
+  /// Second part of a stop: no new work.
+  void StopTakingWork();
+  /// @return true if no call is in progress.
+  bool IsIdle() const;
+  void Stop();
+  /// @return Prometheus text of what this thread measures.
+  std::string MetricsText() const;
+
+private:
+  struct Inbound;
+  using InboundPtr = std::shared_ptr<Inbound>;
+  using Latency = boost::accumulators::accumulator_set<
+    double,
+    boost::accumulators::stats<boost::accumulators::tag::extended_p_square_quantile>>;
+
+  net::Awaitable<net::HttpResponse> HandleCaller(net::HttpRequest aRequest);
+  net::Awaitable<net::HttpResponse> Route(net::HttpRequest aRequest);
+  net::Awaitable<void> HoldWhileStale();
+  net::Awaitable<void> HoldForVersion(std::uint64_t aVersion);
+  net::Awaitable<wire::AnswerT> Attempt(const CallJob& aJob, const routing::Candidate& aTarget);
+  net::Awaitable<net::HttpResponse> RunJob(CallJob aJob);
+  net::Awaitable<void> Serve(InboundPtr aInbound, wire::CallT aCall);
+  void Receive(const InboundPtr& aInbound, wire::EnvelopeT aMessage);
+  routing::AttemptOutcome Judge(const wire::AnswerT& aAnswer,
+                                const std::string& aNode,
+                                std::int64_t aElapsedUs);
+  net::HttpResponse Respond(wire::AnswerT aAnswer);
+  void CountOutcome(wire::CallOutcome aOutcome);
+  net::Awaitable<void> TickLoop();
+
+  net::asio::io_context& m_context;
+  const Settings& m_settings;
+  Identity m_identity;
+  Shared& m_shared;
+  Notify m_notify;
+  Random m_random;
+  TargetRunner m_runner;
+  TargetApi m_targetApi;
+  CallLinks m_links;
+  net::HttpServer m_callerServer;
+  net::HttpServer m_targetServer;
+  routing::PickState m_picks;
+  std::map<std::string, routing::RetryBudget, std::less<>> m_budgets;
+  std::set<InboundPtr> m_inbound;
+  Latency m_latency;
+  std::uint64_t m_latencyCount = 0;
+  double m_latencySumUs = 0;
+  std::uint32_t m_active = 0;
+  std::uint32_t m_serving = 0;
+  bool m_draining = false;
+  bool m_stopped = false;
+};
+
+} // namespace sequoiastep::node
--- /dev/null
+++ b/modules/node/src/ControlDuty.cpp
@@ -0,0 +1,352 @@
+#include "ControlDuty.h"
+
+#include "Address.h"
+#include "Log.h"
+#include "Problem.h"
+
+#include <boost/json.hpp>
+#include <chrono>
+#include <fmt/core.h>
+
+namespace sequoiastep::node {
+
+namespace asio = net::asio;
+using distribution::Event;
+using net::Awaitable;
+using net::kAsTuple;
+
+namespace {
+
+constexpr std::size_t kMailboxItems = 4096;
+constexpr std::uint32_t kRecordsInOneRead = 64;
+constexpr std::uint32_t kNewestCheckpoints = 3;
+constexpr std::uint32_t kNewestDirectoryEntries = 8;
+
+distribution::ControllerOptions
+MakeControllerOptions(const Settings& aSettings, std::uint64_t aIncarnation)
+{
+  distribution::ControllerOptions options;
+  options.m_node = aSettings.m_node;
+  options.m_incarnation = aIncarnation;
+  options.m_region = aSettings.m_region;
+  options.m_failureDomain = aSettings.m_failureDomain;
+  options.m_hints = aSettings.m_peerHints;
+  options.m_seed = aIncarnation;
+  options.m_topology.m_fanOut = aSettings.m_links.m_fanOut;
+  options.m_topology.m_chords = aSettings.m_links.m_chords;
+  const Timings& timings = aSettings.m_timings;
+  options.m_detector.m_suspectAfterMs = static_cast<Milliseconds>(timings.m_suspectAfterMs);
+  options.m_heartbeatMs = static_cast<Milliseconds>(timings.m_heartbeatMs);
+  options.m_joinWaitMs = static_cast<Milliseconds>(timings.m_joinWaitMs);
+  options.m_joinsPerSecond = static_cast<std::uint32_t>(aSettings.m_limits.m_joinsPerSecond);
+  options.m_logWaitMs = static_cast<Milliseconds>(timings.m_logWaitMs);
+  options.m_publishWaitMs = static_cast<Milliseconds>(timings.m_publishWaitMs);
+  options.m_checkpointEveryMs = static_cast<Milliseconds>(timings.m_checkpointEveryMs);
+  options.m_directoryEveryMs = static_cast<Milliseconds>(timings.m_directoryEveryMs);
+  return options;
+}
+
+Event
+ToEvent(platform::ReadReply aReply)
+{
+  switch (aReply.m_status) {
+    case platform::ReadStatus::Expired:
+      return distribution::ConfigExpired{ .m_first = aReply.m_first };
+    case platform::ReadStatus::Failed:
+      return distribution::ConfigReadFailed{};
+    case platform::ReadStatus::Ok:
+      break;
+  }
+  distribution::ConfigRead read;
+  for (platform::LogEntry& entry : aReply.m_entries) {
+    read.m_records.push_back({ .m_offset = entry.m_offset, .m_body = std::move(entry.m_body) });
+  }
+  return read;
+}
+
+std::string
+DirectoryText(const std::vector<std::string>& aAddresses)
+{
+  boost::json::array addresses;
+  for (const std::string& address : aAddresses) {
+    addresses.emplace_back(address);
+  }
+  return boost::json::serialize(boost::json::object{ { "addresses", addresses } });
+}
+
+// Entries that can't be read are passed over: any one good address is enough.
+distribution::DirectoryRead
+ParseDirectory(const platform::ReadReply& aReply)
+{
+  distribution::DirectoryRead read;
+  for (const platform::LogEntry& entry : aReply.m_entries) {
+    boost::system::error_code error;
+    const boost::json::value value = boost::json::parse(entry.m_body, error);
+    const auto* object = error ? nullptr : value.if_object();
+    const auto* addresses = object == nullptr ? nullptr : object->if_contains("addresses");
+    if (addresses == nullptr || !addresses->is_array()) {
+      continue;
+    }
+    for (const boost::json::value& address : addresses->get_array()) {
+      if (address.is_string()) {
+        read.m_addresses.emplace_back(address.get_string());
+      }
+    }
+  }
+  return read;
+}
+
+distribution::AppendResult
+ToResult(platform::AppendStatus aStatus)
+{
+  switch (aStatus) {
+    case platform::AppendStatus::Appended:
+      return distribution::AppendResult::Appended;
+    case platform::AppendStatus::Refused:
+      return distribution::AppendResult::NotAppended;
+    case platform::AppendStatus::Unknown:
+      break;
+  }
+  return distribution::AppendResult::Unknown;
+}
+
+} // namespace
+
+// Performs one action of the controller.
+struct ControlDuty::Perform
+{
+  ControlDuty& m_duty;
+
+  void operator()(const distribution::OpenLink& aAction) const
+  {
+    m_duty.m_links.Open(aAction.m_address);
+  }
+  void operator()(const distribution::CloseLink& aAction) const
+  {
+    m_duty.m_links.Close(aAction.m_node);
+  }
+  void operator()(const distribution::SendMessage& aAction) const
+  {
+    m_duty.m_links.Send(aAction.m_node, aAction.m_message);
+  }
+  void operator()(const distribution::ReadConfig& aAction) const
+  {
+    m_duty.m_log->Read(
+      m_duty.Stream("config"),
+      aAction.m_from,
+      kRecordsInOneRead,
+      aAction.m_waitMs,
+      [duty = &m_duty](platform::ReadReply aReply) { duty->Post(ToEvent(std::move(aReply))); });
+  }
+  void operator()(const distribution::ReadCheckpoints&) const
+  {
+    m_duty.m_log->ReadNewest(m_duty.Stream("checkpoints"),
+                             kNewestCheckpoints,
+                             [duty = &m_duty](platform::ReadReply aReply) {
+                               distribution::CheckpointsRead read;
+                               for (platform::LogEntry& entry : aReply.m_entries) {
+                                 read.m_bodies.push_back(std::move(entry.m_body));
+                               }
+                               duty->Post(std::move(read));
+                             });
+  }
+  void operator()(const distribution::ReadDirectory&) const
+  {
+    m_duty.m_log->ReadNewest(
+      m_duty.Stream("directory"),
+      kNewestDirectoryEntries,
+      [duty = &m_duty](platform::ReadReply aReply) { duty->Post(ParseDirectory(aReply)); });
+  }
+  void operator()(const distribution::AppendPublication& aAction) const
+  {
+    m_duty.m_log->Append(m_duty.Stream("config"),
+                         aAction.m_body,
+                         [duty = &m_duty, id = aAction.m_publishId](platform::AppendReply aReply) {
+                           duty->Post(distribution::PublicationAppended{
+                             .m_publishId = id, .m_result = ToResult(aReply.m_status) });
+                         });
+  }
+  void operator()(const distribution::AppendCheckpoint& aAction) const
+  {
+    m_duty.m_log->Append(
+      m_duty.Stream("checkpoints"), aAction.m_body, [](const platform::AppendReply& aReply) {
+        if (aReply.m_status != platform::AppendStatus::Appended) {
+          LogLine(LogLevel::Warning, "checkpoint_not_written")
+            .Add("remedy", "the next one is written in time; check the platform's log");
+        }
+      });
+  }
+  void operator()(const distribution::AppendDirectory& aAction) const
+  {
+    m_duty.m_log->Append(m_duty.Stream("directory"),
+                         DirectoryText(aAction.m_addresses),
+                         [](const platform::AppendReply&) {});
+  }
+  void operator()(const distribution::AnswerPublish& aAction) const
+  {
+    m_duty.m_admin->AnswerPublish(aAction);
+  }
+  void operator()(const distribution::InstallSnapshot& aAction) const
+  {
+    m_duty.m_shared.m_snapshot.store(aAction.m_snapshot);
+  }
+  void operator()(const distribution::MembersChanged&) const { m_duty.RefreshView(); }
+  void operator()(const distribution::ReadinessChanged& aAction) const
+  {
+    m_duty.m_shared.m_ready.store(aAction.m_ready);
+    LogLine(LogLevel::Info, "readiness")
+      .Add("node", m_duty.m_settings.m_node)
+      .Add("ready", aAction.m_ready ? "yes" : "no");
+  }
+};
+
+ControlDuty::ControlDuty(asio::io_context& aContext,
+                         const Settings& aSettings,
+                         std::uint64_t aIncarnation,
+                         Shared& aShared,
+                         PeerLinks::OnCallSocket aOnCallSocket)
+  : m_context(aContext)
+  , m_settings(aSettings)
+  , m_incarnation(aIncarnation)
+  , m_shared(aShared)
+  , m_links(
+      aContext,
+      [this](Event aEvent) { Feed(std::move(aEvent)); },
+      std::move(aOnCallSocket))
+  , m_mailbox(aContext, kMailboxItems, [this](Event aEvent) { Feed(std::move(aEvent)); })
+{
+}
+
+std::string
+ControlDuty::Stream(std::string_view aName) const
+{
+  return fmt::format("{}.{}", m_settings.m_mesh, aName);
+}
+
+Result<Identity>
+ControlDuty::Listen()
+{
+  BOOST_LEAF_AUTO(peerAddress, net::ParseAddress(m_settings.m_peerListen));
+  BOOST_LEAF_AUTO(adminAddress, net::ParseAddress(m_settings.m_adminListen));
+  BOOST_LEAF_AUTO(peerEndpoint, m_links.Listen(peerAddress));
+  m_adminServer = std::make_unique<net::HttpServer>(
+    m_context,
+    net::HttpLimits{ .m_maxConnections = 64 },
+    [this](net::HttpRequest aRequest) { return m_admin->Handle(std::move(aRequest)); },
+    MakeBadRequest);
+  BOOST_LEAF_AUTO(adminEndpoint, m_adminServer->Listen(adminAddress));
+  Identity identity{ .m_mesh = m_settings.m_mesh,
+                     .m_node = m_settings.m_node,
+                     .m_incarnation = m_incarnation,
+                     .m_address = net::AddressText(peerEndpoint),
+                     .m_region = m_settings.m_region,
+                     .m_failureDomain = m_settings.m_failureDomain };
+  m_links.SetIdentity(identity);
+  LogLine(LogLevel::Info, "listening")
+    .Add("node", m_settings.m_node)
+    .Add("role", "peer")
+    .Add("address", identity.m_address);
+  LogLine(LogLevel::Info, "listening")
+    .Add("node", m_settings.m_node)
+    .Add("role", "admin")
+    .Add("address", net::AddressText(adminEndpoint));
+  return identity;
+}
+
+void
+ControlDuty::Start(AdminApi::Hooks aHooks)
+{
+  distribution::ControllerOptions options = MakeControllerOptions(m_settings, m_incarnation);
+  options.m_address = m_links.Address();
+  m_controller = distribution::MakeController(options, Clock::Now());
+  m_shared.m_snapshot.store(config::MakeSnapshot(*m_controller->m_replay, m_settings.m_region));
+  aHooks.m_feed = [this](Event aEvent) { Feed(std::move(aEvent)); };
+  m_admin = std::make_unique<AdminApi>(m_context, m_settings, *this, std::move(aHooks));
+  m_log = std::make_unique<platform::LogClient>(
+    platform::LogClientOptions{ .m_address = m_settings.m_platformLog });
+  RefreshView();
+  asio::co_spawn(m_context, TickLoop(), asio::detached);
+}
+
+void
+ControlDuty::Post(Event aEvent)
+{
+  if (!m_mailbox.Post(std::move(aEvent))) {
+    LogLine(LogLevel::Error, "control_ring_full").Add("refused", m_mailbox.Refused());
+  }
+}
+
+void
+ControlDuty::Feed(Event aEvent)
+{
+  if (m_stopped || !m_controller) {
+    return;
+  }
+  for (const distribution::Action& action :
+       distribution::Step(*m_controller, std::move(aEvent), Clock::Now())) {
+    std::visit(Perform{ *this }, action);
+  }
+}
+
+Awaitable<void>
+ControlDuty::TickLoop()
+{
+  while (!m_stopped) {
+    Feed(distribution::Tick{});
+    m_shared.m_controlTick.store(Clock::Now().m_ms);
+    asio::steady_timer timer(m_context, std::chrono::milliseconds(distribution::kTickMs));
+    co_await timer.async_wait(kAsTuple);
+  }
+}
+
+// Calls see a member while it is up; an accused one stays in view, as the last to be tried.
+void
+ControlDuty::RefreshView()
+{
+  auto view = std::make_shared<RoutingView>();
+  for (const auto& [node, record] : m_controller->m_table.m_members) {
+    const membership::Member& member = record.m_member;
+    const bool suspect = member.m_state == membership::MemberState::Suspect;
+    if (member.m_service.empty() || (member.m_state != membership::MemberState::Up && !suspect)) {
+      continue;
+    }
+    view->m_services[member.m_service].push_back({ .m_node = node,
+                                                   .m_address = member.m_address,
+                                                   .m_region = member.m_region,
+                                                   .m_failureDomain = member.m_failureDomain,
+                                                   .m_slots = member.m_slots,
+                                                   .m_warmUpMs = member.m_warmUpMs,
+                                                   .m_upSince = record.m_upSince,
+                                                   .m_suspect = suspect });
+  }
+  m_shared.m_view.store(std::move(view));
+}
+
+void
+ControlDuty::Stop()
+{
+  m_stopped = true;
+  m_adminServer->CloseAll();
+  m_links.Stop();
+  m_log.reset();
+}
+
+const distribution::Controller&
+ControlDuty::State() const
+{
+  return *m_controller;
+}
+
+ControlBytes
+ControlDuty::Bytes() const
+{
+  return m_links.Bytes();
+}
+
+platform::LogClientCounts
+ControlDuty::LogCounts() const
+{
+  return m_log ? m_log->Counts() : platform::LogClientCounts{};
+}
+
+} // namespace sequoiastep::node
--- /dev/null
+++ b/modules/node/src/Headers.cpp
@@ -0,0 +1,54 @@
+#include "Headers.h"
+
+#include <algorithm>
+#include <array>
+#include <boost/beast/core/string.hpp>
+
+namespace sequoiastep::node {
+
+namespace {
+
+constexpr std::array<std::string_view, 14> kHopHeaders{
+  "connection",
+  "keep-alive",
+  "proxy-authenticate",
+  "proxy-authorization",
+  "proxy-connection",
+  "te",
+  "trailer",
+  "transfer-encoding",
+  "upgrade",
+  "content-length",
+  "traceparent",
+  "sequoiastep-timeout-ms",
+  "sequoiastep-version",
+  "sequoiastep-outcome",
+};
+
+} // namespace
+
+bool
+IsHopHeader(std::string_view aName)
+{
+  return std::any_of(kHopHeaders.begin(), kHopHeaders.end(), [&](std::string_view aHop) {
+    return boost::beast::iequals(aHop, aName);
+  });
+}
+
+HeaderList
+EndToEndHeaders(const net::http::fields& aFields)
+{
+  HeaderList headers;
+  for (const auto& field : aFields) {
+    if (IsHopHeader(field.name_string())) {
+      continue;
+    }
+    auto header = std::make_unique<wire::HeaderT>();
+    header->name = field.name_string();
+    header->value = field.value();
+    headers.push_back(std::move(header));
+  }
+  return headers;
+}
+
+} // namespace sequoiastep::node
--- /dev/null
+++ b/modules/node/src/Node.cpp
@@ -0,0 +1,176 @@
+#include "Node.h"
+
+#include "CallsDuty.h"
+#include "ControlDuty.h"
+#include "Log.h"
+
+#include <boost/asio/executor_work_guard.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <chrono>
+#include <csignal>
+#include <thread>
+#include <unistd.h>
+
+namespace sequoiastep::node {
+
+namespace asio = net::asio;
+using net::Awaitable;
+using net::kAsTuple;
+
+namespace {
+
+constexpr Milliseconds kDrainStepMs = 20;
+constexpr Milliseconds kLeaveNoticeMs = 150;
+constexpr std::size_t kCallSocketsWaiting = 1024;
+
+// An accepted connection on its way from the control thread to the calls thread.
+struct CallSocket
+{
+  int m_descriptor = -1;
+  wire::HelloT m_hello;
+};
+
+// The threads of one node and what connects them.
+class NodeProcess
+{
+public:
+  explicit NodeProcess(const Settings& aSettings)
+    : m_settings(aSettings)
+    , m_control(m_controlContext,
+                aSettings,
+                EntropySeed() | 1U,
+                m_shared,
+                [this](int aDescriptor, wire::HelloT aHello) {
+                  PassCallSocket(aDescriptor, std::move(aHello));
+                })
+    , m_callSockets(m_callsContext,
+                    kCallSocketsWaiting,
+                    [this](CallSocket aSocket) {
+                      m_calls->TakeCallSocket(aSocket.m_descriptor, aSocket.m_hello);
+                    })
+    , m_signals(m_controlContext, SIGTERM, SIGINT)
+  {
+  }
+
+  Result<void> Run()
+  {
+    BOOST_LEAF_AUTO(identity, m_control.Listen());
+    m_calls = std::make_unique<CallsDuty>(
+      m_callsContext, m_settings, identity, m_shared, [this](distribution::Event aEvent) {
+        m_control.Post(std::move(aEvent));
+      });
+    BOOST_LEAF_CHECK(m_calls->Listen());
+    m_control.Start({ .m_feed = {},
+                      .m_callMetrics = [this] { return CallMetrics(); },
+                      .m_drain = [this] { BeginStop(); } });
+    m_signals.async_wait([this](const net::error_code& aError, int) {
+      if (!aError) {
+        BeginStop();
+      }
+    });
+    std::thread callsThread([this] { RunCalls(); });
+    m_controlContext.run();
+    m_callsGuard.reset();
+    callsThread.join();
+    LogLine(LogLevel::Info, "stopped").Add("node", m_settings.m_node);
+    return {};
+  }
+
+private:
+  void RunCalls() { m_callsContext.run(); }
+
+  void PassCallSocket(int aDescriptor, wire::HelloT aHello)
+  {
+    if (!m_callSockets.Post({ .m_descriptor = aDescriptor, .m_hello = std::move(aHello) })) {
+      ::close(aDescriptor);
+    }
+  }
+
+  Awaitable<std::string> CallMetrics()
+  {
+    const auto ask = [](CallsDuty& aCalls) -> Awaitable<std::string> {
+      co_return aCalls.MetricsText();
+    };
+    std::string text = co_await asio::co_spawn(m_callsContext, ask(*m_calls), asio::use_awaitable);
+    co_return text;
+  }
+
+  void BeginStop()
+  {
+    if (m_stopping) {
+      return;
+    }
+    m_stopping = true;
+    LogLine(LogLevel::Info, "draining").Add("node", m_settings.m_node);
+    m_control.Feed(distribution::DrainRequested{});
+    m_shared.m_draining.store(true);
+    asio::post(m_callsContext, [this] { m_calls->BeginDrain(); });
+    asio::co_spawn(m_controlContext, FinishStop(), asio::detached);
+  }
+
+  Awaitable<void> Sleep(Milliseconds aDelay)
+  {
+    asio::steady_timer timer(m_controlContext, std::chrono::milliseconds(aDelay));
+    co_await timer.async_wait(kAsTuple);
+  }
+
+  Awaitable<bool> CallsAreIdle()
+  {
+    const auto ask = [](CallsDuty& aCalls) -> Awaitable<bool> { co_return aCalls.IsIdle(); };
+    const bool idle = co_await asio::co_spawn(m_callsContext, ask(*m_calls), asio::use_awaitable);
+    co_return idle;
+  }
+
+  Awaitable<void> FinishStop()
+  {
+    const Instant start = Clock::Now();
+    co_await Sleep(static_cast<Milliseconds>(m_settings.m_timings.m_drainNoticeMs));
+    asio::post(m_callsContext, [this] { m_calls->StopTakingWork(); });
+    bool idle = false;
+    while (!idle &&
+           Clock::Now() - start < static_cast<Milliseconds>(m_settings.m_timings.m_drainMs)) {
+      co_await Sleep(kDrainStepMs);
+      idle = co_await CallsAreIdle();
+    }
+    if (!idle) {
+      LogLine(LogLevel::Warning, "drain_time_over")
+        .Add("remedy", "raise timings.drain_ms if requests take longer");
+    }
+    m_control.Feed(distribution::LeaveRequested{});
+    co_await Sleep(kLeaveNoticeMs);
+    asio::post(m_callsContext, [this] {
+      m_calls->Stop();
+      m_callsContext.stop();
+    });
+    m_control.Stop();
+    m_controlContext.stop();
+  }
+
+  const Settings& m_settings;
+  Shared m_shared;
+  asio::io_context m_controlContext{ 1 };
+  asio::io_context m_callsContext{ 1 };
+  asio::executor_work_guard<asio::io_context::executor_type> m_callsGuard{
+    m_callsContext.get_executor()
+  };
+  ControlDuty m_control;
+  std::unique_ptr<CallsDuty> m_calls;
+  Mailbox<CallSocket> m_callSockets;
+  asio::signal_set m_signals;
+  bool m_stopping = false;
+};
+
+} // namespace
+
+Result<void>
+RunNode(const Settings& aSettings)
+{
+  std::signal(SIGPIPE, SIG_IGN);
+  // Never torn down: suspended calls refer to it until the process ends.
+  static NodeProcess* process = nullptr;
+  process = new NodeProcess(aSettings); // NOLINT(cppcoreguidelines-owning-memory)
+  return process->Run();
+}
+
+} // namespace sequoiastep::node
--- /dev/null
+++ b/modules/node/src/Settings.cpp
@@ -0,0 +1,263 @@
+#include "Settings.h"
+
+#include "Address.h"
+#include "Documents.h"
+#include "NameTable.h"
+#include "ObjectReader.h"
+
+#include <array>
+#include <boost/json.hpp>
+#include <fmt/core.h>
+#include <fstream>
+#include <sstream>
+
+namespace sequoiastep::node {
+
+namespace json = boost::json;
+
+using config::NumberRule;
+using config::ObjectReader;
+
+namespace {
+
+constexpr std::array<LogLevel, 4> kLevels{ LogLevel::Debug,
+                                           LogLevel::Info,
+                                           LogLevel::Warning,
+                                           LogLevel::Error };
+
+// A number in an optional section: its key, where it goes and its range.
+template<typename Section>
+struct NumberField
+{
+  std::string_view m_key;
+  std::uint64_t Section::*m_member;
+  std::uint64_t m_least;
+  std::uint64_t m_most;
+};
+
+constexpr std::uint64_t kDayMs = 86'400'000;
+
+constexpr std::array<NumberField<Limits>, 7> kLimitFields{ {
+  { "max_body_bytes", &Limits::m_maxBodyBytes, 1024, 12U << 20 },
+  { "max_header_bytes", &Limits::m_maxHeaderBytes, 1024, 1U << 20 },
+  { "max_connections", &Limits::m_maxConnections, 1, 60'000 },
+  { "max_calls", &Limits::m_maxCalls, 1, 60'000 },
+  { "joins_per_second", &Limits::m_joinsPerSecond, 1, 1000 },
+  { "remembered_keys", &Limits::m_rememberedKeys, 1, 1'000'000 },
+  { "remembered_answer_bytes", &Limits::m_rememberedAnswerBytes, 1024, 1U << 30 },
+} };
+
+constexpr std::array<NumberField<Timings>, 10> kTimingFields{ {
+  { "heartbeat_ms", &Timings::m_heartbeatMs, 100, 10'000 },
+  { "suspect_after_ms", &Timings::m_suspectAfterMs, 500, 60'000 },
+  { "join_wait_ms", &Timings::m_joinWaitMs, 100, 60'000 },
+  { "publish_wait_ms", &Timings::m_publishWaitMs, 100, 60'000 },
+  { "checkpoint_every_ms", &Timings::m_checkpointEveryMs, 1000, kDayMs },
+  { "directory_every_ms", &Timings::m_directoryEveryMs, 1000, kDayMs },
+  { "log_wait_ms", &Timings::m_logWaitMs, 100, 30'000 },
+  { "version_hold_ms", &Timings::m_versionHoldMs, 0, 5000 },
+  { "drain_ms", &Timings::m_drainMs, 100, 600'000 },
+  { "drain_notice_ms", &Timings::m_drainNoticeMs, 0, 60'000 },
+} };
+
+constexpr std::array<NumberField<Links>, 2> kLinkFields{ {
+  { "fan_out", &Links::m_fanOut, 1, 64 },
+  { "chords", &Links::m_chords, 0, 16 },
+} };
+
+constexpr std::array<std::string_view, 6> kSections{ "caller", "target",   "admin",
+                                                     "peer",   "platform", "trace" };
+
+ObjectReader
+ReaderOf(const json::object* aObject, std::string_view aSection)
+{
+  static const json::object kEmpty;
+  return { aObject == nullptr ? kEmpty : *aObject,
+           fmt::format("settings.{}", aSection),
+           ErrorKind::BadSettings };
+}
+
+Result<std::string>
+ReadAddress(ObjectReader& aReader, std::string_view aKey, std::string_view aSection)
+{
+  BOOST_LEAF_AUTO(text, aReader.Text(aKey));
+  const std::string problem = Handle(
+    [&]() -> Result<std::string> {
+      BOOST_LEAF_CHECK(net::ParseAddress(text));
+      return std::string();
+    },
+    [](const Error& aError) { return aError.m_message; });
+  if (!problem.empty()) {
+    return Fail(ErrorKind::BadSettings, fmt::format("settings.{}.{}: {}", aSection, aKey, problem));
+  }
+  return text;
+}
+
+template<typename Section, std::size_t Size>
+Result<Section>
+ReadNumbers(const json::object* aObject,
+            std::string_view aSection,
+            const std::array<NumberField<Section>, Size>& aFields)
+{
+  Section section;
+  ObjectReader reader = ReaderOf(aObject, aSection);
+  for (const auto& field : aFields) {
+    BOOST_LEAF_ASSIGN(section.*field.m_member,
+                      reader.Number(field.m_key,
+                                    NumberRule{ .m_default = section.*field.m_member,
+                                                .m_least = field.m_least,
+                                                .m_most = field.m_most }));
+  }
+  BOOST_LEAF_CHECK(reader.Finish());
+  return section;
+}
+
+Result<std::string>
+ReadListen(const json::object* aObject, std::string_view aSection)
+{
+  ObjectReader reader = ReaderOf(aObject, aSection);
+  BOOST_LEAF_AUTO(listen, ReadAddress(reader, "listen", aSection));
+  BOOST_LEAF_CHECK(reader.Finish());
+  return listen;
+}
+
+Result<void>
+ReadAdmin(const json::object* aObject, Settings& aSettings)
+{
+  ObjectReader reader = ReaderOf(aObject, "admin");
+  BOOST_LEAF_ASSIGN(aSettings.m_adminListen, ReadAddress(reader, "listen", "admin"));
+  BOOST_LEAF_ASSIGN(aSettings.m_adminToken, reader.TextOr("token", ""));
+  return reader.Finish();
+}
+
+Result<void>
+ReadPeer(const json::object* aObject, Settings& aSettings)
+{
+  ObjectReader reader = ReaderOf(aObject, "peer");
+  BOOST_LEAF_ASSIGN(aSettings.m_peerListen, ReadAddress(reader, "listen", "peer"));
+  BOOST_LEAF_ASSIGN(aSettings.m_peerHints, reader.Texts("hints"));
+  for (const std::string& hint : aSettings.m_peerHints) {
+    BOOST_LEAF_CHECK(net::ParseAddress(hint));
+  }
+  return reader.Finish();
+}
+
+Result<void>
+ReadPlatform(const json::object* aObject, Settings& aSettings)
+{
+  ObjectReader reader = ReaderOf(aObject, "platform");
+  BOOST_LEAF_ASSIGN(aSettings.m_platformLog, ReadAddress(reader, "log", "platform"));
+  return reader.Finish();
+}
+
+Result<void>
+ReadTrace(const json::object* aObject, Settings& aSettings)
+{
+  ObjectReader reader = ReaderOf(aObject, "trace");
+  BOOST_LEAF_ASSIGN(aSettings.m_traceSample, reader.Fraction("sample", 0));
+  return reader.Finish();
+}
+
+Result<void>
+ReadLog(const json::object* aObject, Settings& aSettings)
+{
+  ObjectReader reader = ReaderOf(aObject, "log");
+  BOOST_LEAF_AUTO(name, reader.TextOr("level", NameOf(LogLevel::Info)));
+  BOOST_LEAF_CHECK(reader.Finish());
+  for (const LogLevel level : kLevels) {
+    if (NameOf(level) == name) {
+      aSettings.m_logLevel = level;
+      return {};
+    }
+  }
+  return Fail(ErrorKind::BadSettings,
+              "settings.log.level: set it to debug, info, warning or error");
+}
+
+template<typename Section, std::size_t Size>
+json::object
+NumbersObject(const Section& aSection, const std::array<NumberField<Section>, Size>& aFields)
+{
+  json::object object;
+  for (const auto& field : aFields) {
+    object[field.m_key] = aSection.*field.m_member;
+  }
+  return object;
+}
+
+} // namespace
+
+Result<Settings>
+ParseSettings(std::string_view aText)
+{
+  BOOST_LEAF_AUTO(object, config::ParseObject(aText, "the settings file"));
+  ObjectReader reader(object, "settings", ErrorKind::BadSettings);
+  Settings settings;
+  BOOST_LEAF_ASSIGN(settings.m_mesh, reader.Text("mesh"));
+  BOOST_LEAF_ASSIGN(settings.m_node, reader.Text("node"));
+  BOOST_LEAF_ASSIGN(settings.m_region, reader.Text("region"));
+  BOOST_LEAF_ASSIGN(settings.m_failureDomain, reader.Text("failure_domain"));
+  std::array<const json::object*, kSections.size()> sections{};
+  for (std::size_t i = 0; i < kSections.size(); ++i) {
+    BOOST_LEAF_ASSIGN(sections[i], reader.Object(kSections[i]));
+  }
+  BOOST_LEAF_AUTO(log, reader.Object("log"));
+  BOOST_LEAF_AUTO(limits, reader.Object("limits"));
+  BOOST_LEAF_AUTO(timings, reader.Object("timings"));
+  BOOST_LEAF_AUTO(links, reader.Object("links"));
+  BOOST_LEAF_CHECK(reader.Finish());
+  BOOST_LEAF_ASSIGN(settings.m_callerListen, ReadListen(sections[0], "caller"));
+  BOOST_LEAF_ASSIGN(settings.m_targetListen, ReadListen(sections[1], "target"));
+  BOOST_LEAF_CHECK(ReadAdmin(sections[2], settings));
+  BOOST_LEAF_CHECK(ReadPeer(sections[3], settings));
+  BOOST_LEAF_CHECK(ReadPlatform(sections[4], settings));
+  BOOST_LEAF_CHECK(ReadTrace(sections[5], settings));
+  BOOST_LEAF_CHECK(ReadLog(log, settings));
+  BOOST_LEAF_ASSIGN(settings.m_limits, ReadNumbers(limits, "limits", kLimitFields));
+  BOOST_LEAF_ASSIGN(settings.m_timings, ReadNumbers(timings, "timings", kTimingFields));
+  BOOST_LEAF_ASSIGN(settings.m_links, ReadNumbers(links, "links", kLinkFields));
+  return settings;
+}
+
+Result<Settings>
+ReadSettings(const std::string& aPath)
+{
+  std::ifstream file(aPath, std::ios::binary);
+  std::ostringstream text;
+  text << file.rdbuf();
+  if (!file) {
+    return Fail(ErrorKind::BadSettings,
+                fmt::format("can't read '{}'; check the path and its permissions", aPath));
+  }
+  return ParseSettings(text.str());
+}
+
+std::string
+SettingsText(const Settings& aSettings)
+{
+  json::array hints;
+  for (const std::string& hint : aSettings.m_peerHints) {
+    hints.emplace_back(hint);
+  }
+  const json::object object{
+    { "mesh", aSettings.m_mesh },
+    { "node", aSettings.m_node },
+    { "region", aSettings.m_region },
+    { "failure_domain", aSettings.m_failureDomain },
+    { "caller", { { "listen", aSettings.m_callerListen } } },
+    { "target", { { "listen", aSettings.m_targetListen } } },
+    { "admin",
+      { { "listen", aSettings.m_adminListen },
+        { "token", aSettings.m_adminToken.empty() ? "" : "(set)" } } },
+    { "peer", { { "listen", aSettings.m_peerListen }, { "hints", hints } } },
+    { "platform", { { "log", aSettings.m_platformLog } } },
+    { "trace", { { "sample", aSettings.m_traceSample } } },
+    { "log", { { "level", NameOf(aSettings.m_logLevel) } } },
+    { "limits", NumbersObject(aSettings.m_limits, kLimitFields) },
+    { "timings", NumbersObject(aSettings.m_timings, kTimingFields) },
+    { "links", NumbersObject(aSettings.m_links, kLinkFields) },
+  };
+  return json::serialize(object);
+}
+
+} // namespace sequoiastep::node
--- /dev/null
+++ b/modules/wire/include/Frame.h
@@ -0,0 +1,53 @@
+/// @file
+/// Frames between nodes: an 8-byte header and one verified FlatBuffers Envelope.
+/// Header: 'S' 'Q', format, flags, then the payload's length as 32 bits, least significant first.
+#pragma once
+
+#include "Error.h"
+#include "Messages_generated.h"
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+
+namespace sequoiastep::wire {
+
+/// Format of frames and messages that this build speaks.
+constexpr std::uint8_t kFrameFormat = 1;
+constexpr std::size_t kFrameHeaderBytes = 8;
+/// Largest payload of one frame, before and after decompression.
+constexpr std::size_t kMaxFramePayloadBytes = 16U << 20;
+
+/// @return an envelope around aMessage, one of the tables of the union Body.
+template<typename MessageTable>
+EnvelopeT
+MakeEnvelope(MessageTable&& aMessage)
+{
+  EnvelopeT envelope;
+  envelope.body.Set(std::forward<MessageTable>(aMessage));
+  return envelope;
+}
+
+/// @return aEnvelope as one frame; payloads of control messages over 512 bytes are compressed.
+std::string
+EncodeFrame(const EnvelopeT& aEnvelope);
+
+/// Cuts a byte stream into envelopes. One for each connection and direction.
+class FrameReader
+{
+public:
+  /// Adds bytes that came from the connection.
+  void Feed(std::string_view aBytes);
+
+  /// @return the next whole envelope, nothing if more bytes are needed, or BadFrame, TooLarge or
+  /// NewerFormat. After an error the connection must be closed.
+  Result<std::optional<EnvelopeT>> Next();
+
+private:
+  std::string m_buffer;
+  std::size_t m_consumed = 0;
+};
+
+} // namespace sequoiastep::wire
--- /dev/null
+++ b/tools/mesh.sh
@@ -0,0 +1,82 @@
+# Shell functions that run a mesh of stand-ins and nodes on loopback. Source it after setting BIN.
+# Every process started here is ended by stop_mesh.
+MESH_DIR=$(mktemp -d)
+MESH_PIDS=()
+declare -A NODE_PID TARGET_PID
+
+# start_process LOGNAME COMMAND...: runs in the background; its id is in LAST_PID.
+start_process() {
+  local name=$1
+  shift
+  "$@" >"$MESH_DIR/$name.out" 2>"$MESH_DIR/$name.log" &
+  LAST_PID=$!
+  MESH_PIDS+=("$LAST_PID")
+}
+
+# wait_for SECONDS COMMAND...: repeats the command until it succeeds.
+wait_for() {
+  local deadline=$((SECONDS + $1))
+  shift
+  until "$@" >/dev/null 2>&1; do
+    [ "$SECONDS" -lt "$deadline" ] || return 1
+    sleep 0.05
+  done
+}
+
+start_log() {
+  LOG_ADDRESS="127.0.0.1:$1"
+  shift
+  start_process log "$BIN/standinlog" listen="$LOG_ADDRESS" "$@"
+  wait_for 5 curl -sf "http://$LOG_ADDRESS/v1/streams/none"
+}
+
+# Ports of node N: caller, target, admin, peer, and the target's own.
+port() { echo $((PORT_BASE + 10 * $1 + $2)); }
+caller_of() { echo "127.0.0.1:$(port "$1" 0)"; }
+announce_of() { echo "127.0.0.1:$(port "$1" 1)"; }
+admin_of() { echo "127.0.0.1:$(port "$1" 2)"; }
+peer_of() { echo "127.0.0.1:$(port "$1" 3)"; }
+target_of() { echo "127.0.0.1:$(port "$1" 4)"; }
+
+# start_node N NAME REGION DOMAIN [EXTRA_JSON]
+start_node() {
+  local n=$1 name=$2 region=$3 domain=$4 extra=${5:-}
+  cat >"$MESH_DIR/$name.json" <<EOF
+{"mesh":"demo","node":"$name","region":"$region","failure_domain":"$domain",
+ "caller":{"listen":"$(caller_of "$n")"},"target":{"listen":"$(announce_of "$n")"},
+ "admin":{"listen":"$(admin_of "$n")"},"peer":{"listen":"$(peer_of "$n")"},
+ "platform":{"log":"$LOG_ADDRESS"}$extra}
+EOF
+  start_process "$name" "$BIN/sequoiastep" node --settings "$MESH_DIR/$name.json"
+  NODE_PID[$n]=$LAST_PID
+}
+
+# start_target N SERVICE [OPTION=VALUE...]
+start_target() {
+  local n=$1 service=$2
+  shift 2
+  start_process "target-$n" "$BIN/standintarget" listen="$(target_of "$n")" \
+    node="$(announce_of "$n")" service="$service" "$@"
+  TARGET_PID[$n]=$LAST_PID
+}
+
+node_version() { curl -sf "http://$(admin_of "$1")/admin/v1/status" | grep -o '"version":[0-9]*' | cut -d: -f2; }
+node_is_ready() { curl -sf "http://$(admin_of "$1")/admin/v1/status" | grep -q '"ready":true'; }
+nodes_up() { curl -sf "http://$(admin_of "$1")/admin/v1/members" | grep -o '"state":"up"' | wc -l; }
+
+stop_mesh() {
+  local pid
+  for pid in "${MESH_PIDS[@]}"; do
+    kill -CONT "$pid" 2>/dev/null
+    kill -TERM "$pid" 2>/dev/null
+  done
+  for pid in "${MESH_PIDS[@]}"; do
+    for _ in $(seq 100); do
+      kill -0 "$pid" 2>/dev/null || break
+      sleep 0.05
+    done
+    kill -KILL "$pid" 2>/dev/null
+  done
+  wait 2>/dev/null
+  rm -rf "$MESH_DIR"
+}
