--- a/modules/base/include/Log.h
+++ b/modules/base/include/Log.h
@@ -24,6 +24,10 @@
 std::string_view
 NameOf(LogLevel aLevel);
 
+/// Drops lines below aLevel from now on.
+void
+SetLogLevel(LogLevel aLevel);
+
 /// Starts the log thread on construction; writes what is left and stops it on destruction.
 /// One at most in a process. Without one, lines are written at once.
 class LogThread
--- a/modules/base/src/Log.cpp
+++ b/modules/base/src/Log.cpp
@@ -86,9 +86,15 @@
   return NameIn(kLevelNames, aLevel);
 }
 
-LogThread::LogThread(LogLevel aLevel)
+void
+SetLogLevel(LogLevel aLevel)
 {
   gLevel.store(aLevel);
+}
+
+LogThread::LogThread(LogLevel aLevel)
+{
+  SetLogLevel(aLevel);
   gQueue = std::make_unique<LogQueue>();
   gQueue->m_thread = std::thread([] { WriteLines(*gQueue); });
 }
--- a/modules/distribution/src/Controller.cpp
+++ b/modules/distribution/src/Controller.cpp
@@ -202,4 +202,19 @@
   return rank == readers->second.size() ? static_cast<std::size_t>(-1) : rank;
 }
 
+const std::vector<std::string>*
+OwnDomainOrder(const Controller& aController)
+{
+  const Member& self = Self(aController);
+  const auto order = aController.m_topology.m_domains.find({ self.m_region, self.m_failureDomain });
+  return order == aController.m_topology.m_domains.end() ? nullptr : &order->second;
+}
+
+bool
+HeadsOwnDomain(const Controller& aController)
+{
+  const auto* order = OwnDomainOrder(aController);
+  return order != nullptr && !order->empty() && order->front() == aController.m_table.m_self;
+}
+
 } // namespace sequoiastep::distribution
--- a/modules/distribution/src/ControllerConfig.cpp
+++ b/modules/distribution/src/ControllerConfig.cpp
@@ -52,11 +52,10 @@
 {
   Controller& controller = aTurn.m_controller;
   const membership::Member& self = Self(controller);
-  const auto domain = controller.m_topology.m_domains.find({ self.m_region, self.m_failureDomain });
   std::set<std::string, std::less<>> targets;
-  if (domain != controller.m_topology.m_domains.end()) {
+  if (const auto* order = OwnDomainOrder(controller)) {
     for (std::string& child :
-         TreeChildren(domain->second, self.m_node, controller.m_options.m_topology.m_fanOut)) {
+         TreeChildren(*order, self.m_node, controller.m_options.m_topology.m_fanOut)) {
       targets.insert(std::move(child));
     }
   }
--- a/modules/distribution/src/ControllerHeartbeat.cpp
+++ b/modules/distribution/src/ControllerHeartbeat.cpp
@@ -31,14 +31,6 @@
            .m_sequence = aSummary.sequence };
 }
 
-const std::vector<std::string>*
-OwnDomainOrder(const Controller& aController)
-{
-  const membership::Member& self = Self(aController);
-  const auto order = aController.m_topology.m_domains.find({ self.m_region, self.m_failureDomain });
-  return order == aController.m_topology.m_domains.end() ? nullptr : &order->second;
-}
-
 DomainSummary
 OwnSubtree(const Controller& aController)
 {
@@ -66,8 +58,7 @@
 SummarizeOwnDomain(Turn& aTurn)
 {
   Controller& controller = aTurn.m_controller;
-  const auto* order = OwnDomainOrder(controller);
-  if (order == nullptr || order->empty() || order->front() != controller.m_table.m_self) {
+  if (!HeadsOwnDomain(controller)) {
     return;
   }
   DomainSummary sum = OwnSubtree(controller);
--- a/modules/distribution/src/ControllerJoin.cpp
+++ b/modules/distribution/src/ControllerJoin.cpp
@@ -18,6 +18,7 @@
 constexpr std::uint64_t kBusySpreadMs = 800;
 constexpr Milliseconds kPauseCheckMostMs = 2000;
 constexpr Milliseconds kJoinWindowMs = 1000;
+constexpr Milliseconds kGroupingMs = 60'000;
 
 } // namespace
 
@@ -188,8 +189,10 @@
       SearchPeers(aTurn); // A peer that answers is as good as the log.
       break;
     case JoinPhase::Joined:
-      if (controller.m_links.empty()) {
-        AskDirectory(aTurn); // Nodes that started alone find each other.
+      // Nodes and groups of nodes that started apart find each other.
+      if (controller.m_links.empty() ||
+          (HeadsOwnDomain(controller) && aTurn.m_now - controller.m_startedAt < kGroupingMs)) {
+        AskDirectory(aTurn);
       }
       break;
   }
--- a/modules/distribution/src/ControllerLinks.cpp
+++ b/modules/distribution/src/ControllerLinks.cpp
@@ -25,13 +25,16 @@
   return aNow - aLink.m_lastHeard < aController.m_options.m_detector.m_suspectAfterMs;
 }
 
+// Judged by fresher news than a neighbour is accused by: when this node itself is cut off, all
+// links must look bad before the first of them has been silent long enough.
 membership::LinkHealth
 HealthOfLinks(const Controller& aController, Instant aNow)
 {
   membership::LinkHealth health{ .m_wanted = aController.m_wanted.size() };
   const Member& self = Self(aController);
+  const Milliseconds recent = aController.m_options.m_heartbeatMs * 3 / 2;
   for (const auto& [node, link] : aController.m_links) {
-    if (!IsFresh(aController, link, aNow)) {
+    if (aNow - link.m_lastHeard >= recent) {
       continue;
     }
     if (aController.m_wanted.contains(node)) {
--- a/modules/distribution/src/ControllerLog.cpp
+++ b/modules/distribution/src/ControllerLog.cpp
@@ -116,12 +116,8 @@
 WriteDirectoryIfDue(Turn& aTurn)
 {
   Controller& controller = aTurn.m_controller;
-  if (!controller.m_ready || aTurn.m_now < controller.m_nextDirectory) {
-    return;
-  }
-  const membership::Member& self = Self(controller);
-  const auto order = controller.m_topology.m_domains.find({ self.m_region, self.m_failureDomain });
-  if (order == controller.m_topology.m_domains.end() || order->second.front() != self.m_node) {
+  if (!controller.m_ready || aTurn.m_now < controller.m_nextDirectory ||
+      !HeadsOwnDomain(controller)) {
     return;
   }
   const Milliseconds every = controller.m_options.m_directoryEveryMs;
--- a/modules/distribution/src/ControllerPriv.h
+++ b/modules/distribution/src/ControllerPriv.h
@@ -49,6 +49,14 @@
   return found == aController.m_table.m_members.end() ? nullptr : &found->second.m_member;
 }
 
+/// @return the tree order of this node's failure domain, or nullptr.
+const std::vector<std::string>*
+OwnDomainOrder(const Controller& aController);
+
+/// @return true if this node is the root of its failure domain's tree.
+bool
+HeadsOwnDomain(const Controller& aController);
+
 /// @return the next delay of a decorrelated-jitter backoff, in milliseconds.
 Milliseconds
 NextDelay(Random& aRandom, Milliseconds aPrevious, Milliseconds aLeast, Milliseconds aMost);
