Answer keyed requests at most once, and count a call's time in buffers

Calls now carry the sender's clock, and the least difference seen on a link tells how long a frame lay in buffers. Ruled out: refusing all calls after a gap of the clock, which would turn away fresh ones. Keys that a node issued are claimed there alone; other nodes ask the issuer, and an issuer that is gone gives unknown.

--- a/modules/node/src/CallLinks.cpp
+++ b/modules/node/src/CallLinks.cpp
@@ -108,6 +108,7 @@
     co_return CallReply{ .m_kind = CallReply::Kind::NotSent, .m_answer = {} };
   }
   aCall.id = m_nextId++;
+  aCall.sent_ms = Clock::Now().m_ms;
   const std::uint64_t id = aCall.id;
   Pending pending(m_context, aTimeoutMs);
   link->m_pending.emplace(id, &pending);
--- a/modules/node/src/CallsDuty.cpp
+++ b/modules/node/src/CallsDuty.cpp
@@ -4,6 +4,7 @@
 #include "Headers.h"
 #include "Log.h"
 #include "Problem.h"
+#include "TransitClock.h"
 
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/cancellation_signal.hpp>
@@ -37,6 +38,10 @@
 constexpr std::uint32_t kCloseIdleTicks = 1000;
 constexpr std::array<double, 4> kQuantiles{ 0.5, 0.9, 0.99, 0.999 };
 constexpr std::string_view kReservedPrefix = "/.sequoiastep/";
+constexpr std::string_view kKeysPath = "/.sequoiastep/v1/keys";
+constexpr std::string_view kKeyHeader = "Idempotency-Key";
+constexpr std::string_view kOutcomeHeader = "Sequoiastep-Outcome";
+constexpr Milliseconds kIssuerMs = 30'000;
 
 std::optional<std::uint64_t>
 NumberHeader(const HttpRequest& aRequest, std::string_view aName)
@@ -50,6 +55,20 @@
   return number;
 }
 
+HttpResponse
+ResponseFrom(const AnswerT& aAnswer)
+{
+  HttpResponse response;
+  response.version(11);
+  response.result(aAnswer.status);
+  for (const auto& header : aAnswer.headers) {
+    response.insert(header->name, header->value);
+  }
+  response.body().assign(aAnswer.body.begin(), aAnswer.body.end());
+  response.prepare_payload();
+  return response;
+}
+
 // Counts one call for as long as it is in progress.
 class InProgress
 {
@@ -84,6 +103,7 @@
   std::string m_node;
   bool m_foreign = false;
   std::unique_ptr<net::FrameConnection> m_connection;
+  routing::TransitClock m_transit;
   std::map<std::uint64_t, std::shared_ptr<asio::cancellation_signal>> m_calls;
 };
 
@@ -112,7 +132,13 @@
     }
     m_notify(std::move(change));
   })
-  , m_links(aContext, std::move(aIdentity), aShared)
+  , m_links(aContext, aIdentity, aShared)
+  , m_keyed(aContext,
+            aIdentity.m_node,
+            aIdentity.m_incarnation,
+            { .m_maxClaims = aSettings.m_limits.m_rememberedKeys,
+              .m_maxAnswerBytes = aSettings.m_limits.m_rememberedAnswerBytes },
+            [this](HttpRequest aRequest) { return Route(std::move(aRequest)); })
   , m_callerServer(
       aContext,
       { .m_maxHeaderBytes = static_cast<std::uint32_t>(aSettings.m_limits.m_maxHeaderBytes),
@@ -176,7 +202,7 @@
                           "this node has too many calls in progress; try another node");
   }
   const InProgress progress(m_active);
-  HttpResponse response = co_await Route(std::move(aRequest));
+  HttpResponse response = co_await Enter(std::move(aRequest));
   if (m_draining) {
     response.keep_alive(false);
   }
@@ -223,13 +249,28 @@
 }
 
 Awaitable<HttpResponse>
-CallsDuty::Route(HttpRequest aRequest)
+CallsDuty::Enter(HttpRequest aRequest)
 {
   if (std::string_view(aRequest.target()).starts_with(kReservedPrefix)) {
+    const bool keys = net::PathOf(aRequest.target()) == kKeysPath;
+    if (keys && aRequest.method() == http::verb::post && m_shared.m_ready.load()) {
+      co_return m_keyed.Issue(aRequest);
+    }
     co_return MakeProblem(http::status::not_found,
                           CallOutcome::NotRun,
-                          "paths under /.sequoiastep/ are reserved and this one is not known");
+                          "paths under /.sequoiastep/ are reserved and this one is not served now");
   }
+  if (aRequest.count(std::string(kKeyHeader)) > 0) {
+    HttpResponse response = co_await RouteKeyed(std::move(aRequest));
+    co_return response;
+  }
+  HttpResponse response = co_await Route(std::move(aRequest));
+  co_return response;
+}
+
+Awaitable<HttpResponse>
+CallsDuty::Route(HttpRequest aRequest)
+{
   co_await HoldWhileStale();
   if (!m_shared.m_ready.load()) {
     CountOutcome(CallOutcome::NotRun);
@@ -278,6 +319,94 @@
   co_return response;
 }
 
+Awaitable<HttpResponse>
+CallsDuty::RouteKeyed(HttpRequest aRequest)
+{
+  const auto key = idempotency::ParseIssuedKey(aRequest[std::string(kKeyHeader)]);
+  if (!key) {
+    CountOutcome(CallOutcome::NotRun);
+    co_return MakeProblem(http::status::unprocessable_entity,
+                          CallOutcome::NotRun,
+                          "this is no key that a node issued; fetch keys with POST "
+                          "/.sequoiastep/v1/keys");
+  }
+  if (m_keyed.IsOwn(*key)) {
+    HttpResponse response = co_await m_keyed.Handle(*key, std::move(aRequest));
+    co_return response;
+  }
+  HttpResponse response = co_await AskIssuer(*key, std::move(aRequest));
+  co_return response;
+}
+
+// Only the issuer knows what became of its key. If it can't be asked, nobody can say.
+Awaitable<HttpResponse>
+CallsDuty::AskIssuer(idempotency::IssuedKey aKey, HttpRequest aRequest)
+{
+  const auto view = m_shared.m_view.load();
+  const auto issuer = view->m_nodes.find(aKey.m_node);
+  if (issuer == view->m_nodes.end() || issuer->second.m_incarnation != aKey.m_incarnation) {
+    CountOutcome(CallOutcome::Unknown);
+    co_return MakeProblem(http::status::gateway_timeout,
+                          CallOutcome::Unknown,
+                          "the node that issued this key is gone; ask the service whether the "
+                          "request was run before sending it under a new key");
+  }
+  CallT call;
+  call.forwarded = true;
+  call.method = aRequest.method_string();
+  call.target = aRequest.target();
+  for (const auto& field : aRequest) {
+    auto header = std::make_unique<wire::HeaderT>();
+    header->name = field.name_string();
+    header->value = field.value();
+    call.headers.push_back(std::move(header));
+  }
+  call.body.assign(aRequest.body().begin(), aRequest.body().end());
+  const std::string address = issuer->second.m_address;
+  CallReply reply = co_await m_links.Call(aKey.m_node, address, std::move(call), kIssuerMs);
+  if (reply.m_kind != CallReply::Kind::Answered) {
+    CountOutcome(CallOutcome::Unknown);
+    co_return MakeProblem(http::status::gateway_timeout,
+                          CallOutcome::Unknown,
+                          "the node that issued this key can't be asked now; ask again later, "
+                          "under the same key");
+  }
+  CountOutcome(reply.m_answer.outcome);
+  HttpResponse response = ResponseFrom(reply.m_answer);
+  if (reply.m_answer.outcome != CallOutcome::Done) {
+    response.set(std::string(kOutcomeHeader), NameOf(reply.m_answer.outcome));
+  }
+  co_return response;
+}
+
+// A request with a key of this node that entered at another one.
+Awaitable<AnswerT>
+CallsDuty::AnswerForwarded(CallT aCall)
+{
+  HttpRequest request;
+  request.version(11);
+  request.method_string(aCall.method);
+  request.target(aCall.target);
+  for (const auto& header : aCall.headers) {
+    request.insert(header->name, header->value);
+  }
+  request.body().assign(aCall.body.begin(), aCall.body.end());
+  AnswerT answer;
+  const auto key = idempotency::ParseIssuedKey(request[std::string(kKeyHeader)]);
+  if (!key || !m_keyed.IsOwn(*key)) {
+    answer.outcome = CallOutcome::Unknown;
+    answer.status = static_cast<std::uint16_t>(http::status::gateway_timeout);
+    co_return answer;
+  }
+  HttpResponse response = co_await m_keyed.Handle(*key, std::move(request));
+  const std::string_view outcome = response.base()[std::string(kOutcomeHeader)];
+  answer.outcome = OutcomeNamed(outcome).value_or(CallOutcome::Done);
+  answer.status = static_cast<std::uint16_t>(response.result_int());
+  answer.headers = EndToEndHeaders(response);
+  answer.body.assign(response.body().begin(), response.body().end());
+  co_return answer;
+}
+
 Awaitable<AnswerT>
 CallsDuty::Attempt(const CallJob& aJob, const routing::Candidate& aTarget)
 {
@@ -400,7 +529,7 @@
   ++m_latencyCount;
   m_latencySumUs += static_cast<double>(elapsed);
   span.End(NameOf(answer.outcome), lastNode);
-  co_return Respond(std::move(answer));
+  co_return Respond(answer);
 }
 
 void
@@ -424,7 +553,7 @@
 }
 
 HttpResponse
-CallsDuty::Respond(AnswerT aAnswer)
+CallsDuty::Respond(const AnswerT& aAnswer)
 {
   CountOutcome(aAnswer.outcome);
   if (aAnswer.outcome != CallOutcome::Done) {
@@ -435,15 +564,7 @@
                                : "; it may have been run, ask the service before sending it again");
     return MakeProblem(status, aAnswer.outcome, detail);
   }
-  HttpResponse response;
-  response.version(11);
-  response.result(aAnswer.status);
-  for (const auto& header : aAnswer.headers) {
-    response.insert(header->name, header->value);
-  }
-  response.body().assign(aAnswer.body.begin(), aAnswer.body.end());
-  response.prepare_payload();
-  return response;
+  return ResponseFrom(aAnswer);
 }
 
 void
@@ -459,6 +580,7 @@
   inbound->m_node = aHello.node;
   inbound->m_foreign = aHello.region != m_identity.m_region;
   inbound->m_connection = std::make_unique<net::FrameConnection>(std::move(socket));
+  routing::NoteTransit(inbound->m_transit, aHello.sent_ms, Clock::Now());
   m_inbound.insert(inbound);
   inbound->m_connection->Send(wire::EncodeFrame(MakeHello(m_identity, wire::Purpose::Calls)));
   inbound->m_connection->Start(
@@ -494,6 +616,9 @@
     return;
   }
   CallT call = std::move(*aMessage.body.AsCall());
+  // What the call waited in buffers, as while this process was paused, is time of its deadline.
+  const Milliseconds age = routing::NoteTransit(aInbound->m_transit, call.sent_ms, Clock::Now());
+  call.timeout_ms -= static_cast<std::uint32_t>(std::min<Milliseconds>(age, call.timeout_ms));
   auto signal = std::make_shared<asio::cancellation_signal>();
   aInbound->m_calls[call.id] = signal;
   asio::co_spawn(
@@ -521,8 +646,13 @@
                   "serve",
                   m_random);
   aCall.parent_span = span.Context().m_parent;
-  co_await HoldForVersion(aCall.version);
-  AnswerT answer = co_await m_runner.Run(std::move(aCall), aInbound->m_node);
+  AnswerT answer;
+  if (aCall.forwarded) {
+    answer = co_await AnswerForwarded(std::move(aCall));
+  } else {
+    co_await HoldForVersion(aCall.version);
+    answer = co_await m_runner.Run(std::move(aCall), aInbound->m_node);
+  }
   answer.id = id;
   span.End(NameOf(answer.outcome), "target");
   aInbound->m_connection->Send(wire::EncodeFrame(wire::MakeEnvelope(std::move(answer))));
@@ -580,6 +710,7 @@
   counter("cancelled", counters.m_cancelled);
   text += fmt::format("sequoiastep_calls_in_progress {}\n", m_active);
   text += fmt::format("sequoiastep_target_outstanding {}\n", m_runner.Outstanding());
+  text += fmt::format("sequoiastep_remembered_keys {}\n", m_keyed.Claims());
   text += fmt::format("sequoiastep_call_links {}\n", m_links.Open());
   for (const double quantile : kQuantiles) {
     const double value =
--- a/modules/node/src/CallsDuty.h
+++ b/modules/node/src/CallsDuty.h
@@ -6,6 +6,7 @@
 #include "CallLinks.h"
 #include "Events.h"
 #include "HttpServer.h"
+#include "KeyedCalls.h"
 #include "Picker.h"
 #include "Random.h"
 #include "Retry.h"
@@ -66,7 +67,12 @@
     boost::accumulators::stats<boost::accumulators::tag::extended_p_square_quantile>>;
 
   net::Awaitable<net::HttpResponse> HandleCaller(net::HttpRequest aRequest);
+  net::Awaitable<net::HttpResponse> Enter(net::HttpRequest aRequest);
   net::Awaitable<net::HttpResponse> Route(net::HttpRequest aRequest);
+  net::Awaitable<net::HttpResponse> RouteKeyed(net::HttpRequest aRequest);
+  net::Awaitable<net::HttpResponse> AskIssuer(idempotency::IssuedKey aKey,
+                                              net::HttpRequest aRequest);
+  net::Awaitable<wire::AnswerT> AnswerForwarded(wire::CallT aCall);
   net::Awaitable<void> HoldWhileStale();
   net::Awaitable<void> HoldForVersion(std::uint64_t aVersion);
   net::Awaitable<wire::AnswerT> Attempt(const CallJob& aJob, const routing::Candidate& aTarget);
@@ -76,7 +82,7 @@
   routing::AttemptOutcome Judge(const wire::AnswerT& aAnswer,
                                 const std::string& aNode,
                                 std::int64_t aElapsedUs);
-  net::HttpResponse Respond(wire::AnswerT aAnswer);
+  net::HttpResponse Respond(const wire::AnswerT& aAnswer);
   void CountOutcome(wire::CallOutcome aOutcome);
   net::Awaitable<void> TickLoop();
 
@@ -89,6 +95,7 @@
   TargetRunner m_runner;
   TargetApi m_targetApi;
   CallLinks m_links;
+  KeyedCalls m_keyed;
   net::HttpServer m_callerServer;
   net::HttpServer m_targetServer;
   routing::PickState m_picks;
--- a/modules/node/src/ControlDuty.cpp
+++ b/modules/node/src/ControlDuty.cpp
@@ -307,6 +307,10 @@
   for (const auto& [node, record] : m_controller->m_table.m_members) {
     const membership::Member& member = record.m_member;
     const bool suspect = member.m_state == membership::MemberState::Suspect;
+    if (member.m_state != membership::MemberState::Gone) {
+      view->m_nodes[node] = { .m_address = member.m_address,
+                              .m_incarnation = member.m_incarnation };
+    }
     if (member.m_service.empty() || (member.m_state != membership::MemberState::Up && !suspect)) {
       continue;
     }
--- /dev/null
+++ b/modules/node/src/KeyedCalls.cpp
@@ -0,0 +1,198 @@
+#include "KeyedCalls.h"
+
+#include "Hash.h"
+#include "HttpServer.h"
+#include "Problem.h"
+#include "Random.h"
+
+#include <boost/beast/http/field.hpp>
+#include <boost/beast/http/status.hpp>
+#include <boost/json.hpp>
+#include <charconv>
+#include <chrono>
+#include <fmt/core.h>
+#include <optional>
+
+namespace sequoiastep::node {
+
+namespace http = net::http;
+using idempotency::ClaimDecision;
+using idempotency::IssuedKey;
+using net::Awaitable;
+using net::HttpRequest;
+using net::HttpResponse;
+
+namespace {
+
+constexpr std::size_t kMostKeysAtOnce = 1000;
+// Longer than the longest timeout that a route may have.
+constexpr std::int64_t kMostWaitMs = 660'000;
+constexpr std::string_view kOutcomeField = "Sequoiastep-Outcome";
+
+// Method, target and body: a key may not be used for anything else.
+std::uint64_t
+DigestOf(const HttpRequest& aRequest)
+{
+  const std::uint64_t head = Hash64(fmt::format(
+    "{} {}", std::string_view(aRequest.method_string()), std::string_view(aRequest.target())));
+  return Hash64(aRequest.body(), head);
+}
+
+HttpResponse
+Refused(ClaimDecision aDecision)
+{
+  switch (aDecision) {
+    case ClaimDecision::InProgress:
+      return MakeProblem(http::status::conflict,
+                         CallOutcome::Unknown,
+                         "the request of this key is in progress; ask again in a moment");
+    case ClaimDecision::OtherRequest:
+      return MakeProblem(http::status::unprocessable_entity,
+                         CallOutcome::NotRun,
+                         "this key was used for another request; fetch a new key");
+    case ClaimDecision::NotIssued:
+      return MakeProblem(http::status::unprocessable_entity,
+                         CallOutcome::NotRun,
+                         "no node issued this key; fetch keys with POST /.sequoiastep/v1/keys");
+    default:
+      return MakeProblem(http::status::gateway_timeout,
+                         CallOutcome::Unknown,
+                         "the request of this key may have been run and its answer is lost; ask "
+                         "the service before sending it under a new key");
+  }
+}
+
+idempotency::RememberedAnswer
+Remember(const HttpResponse& aResponse)
+{
+  idempotency::RememberedAnswer answer{ .m_status =
+                                          static_cast<std::uint16_t>(aResponse.result_int()),
+                                        .m_headers = {},
+                                        .m_body = aResponse.body() };
+  for (const auto& field : aResponse) {
+    answer.m_headers.emplace_back(field.name_string(), field.value());
+  }
+  return answer;
+}
+
+HttpResponse
+Restore(const idempotency::RememberedAnswer& aAnswer)
+{
+  HttpResponse response;
+  response.version(11);
+  response.result(aAnswer.m_status);
+  for (const auto& [name, value] : aAnswer.m_headers) {
+    response.insert(name, value);
+  }
+  response.set("Sequoiastep-Repeated", "true");
+  response.body() = aAnswer.m_body;
+  response.prepare_payload();
+  return response;
+}
+
+} // namespace
+
+// A started request; the timer is cancelled when it is answered.
+struct KeyedCalls::Started
+{
+  explicit Started(net::asio::io_context& aContext)
+    : m_timer(aContext, std::chrono::milliseconds(kMostWaitMs))
+  {
+  }
+
+  net::asio::steady_timer m_timer;
+  std::optional<HttpResponse> m_response;
+};
+
+KeyedCalls::KeyedCalls(net::asio::io_context& aContext,
+                       std::string aNode,
+                       std::uint64_t aIncarnation,
+                       idempotency::KeyTableOptions aOptions,
+                       RunCall aRunCall)
+  : m_context(aContext)
+  , m_runCall(std::move(aRunCall))
+{
+  m_table.m_options = aOptions;
+  m_table.m_node = std::move(aNode);
+  m_table.m_incarnation = aIncarnation;
+  m_table.m_secret = EntropySeed();
+}
+
+HttpResponse
+KeyedCalls::Issue(const HttpRequest& aRequest)
+{
+  const std::string text = net::QueryValue(aRequest.target(), "count", "1");
+  std::size_t count = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), count);
+  if (error != std::errc() || end != text.data() + text.size() || count < 1 ||
+      count > kMostKeysAtOnce) {
+    return MakeProblem(http::status::bad_request,
+                       CallOutcome::NotRun,
+                       fmt::format("count: a whole number from 1 to {}", kMostKeysAtOnce));
+  }
+  boost::json::array keys;
+  for (const std::string& key : idempotency::IssueKeys(m_table, count)) {
+    keys.emplace_back(key);
+  }
+  return net::MakeResponse(http::status::ok,
+                           "application/json",
+                           boost::json::serialize(boost::json::object{ { "keys", keys } }));
+}
+
+bool
+KeyedCalls::IsOwn(const IssuedKey& aKey) const
+{
+  return aKey.m_node == m_table.m_node && aKey.m_incarnation == m_table.m_incarnation;
+}
+
+std::size_t
+KeyedCalls::Claims() const
+{
+  return m_table.m_claims.size();
+}
+
+void
+KeyedCalls::Settle(std::uint64_t aSerial, const HttpResponse& aResponse)
+{
+  const std::string_view outcome = aResponse.base()[std::string(kOutcomeField)];
+  if (outcome.empty()) {
+    idempotency::FinishClaim(m_table, aSerial, Remember(aResponse));
+  } else if (outcome == NameOf(CallOutcome::NotRun)) {
+    idempotency::ReleaseClaim(m_table, aSerial);
+  } else {
+    idempotency::LoseClaim(m_table, aSerial);
+  }
+}
+
+Awaitable<HttpResponse>
+KeyedCalls::Handle(IssuedKey aKey, HttpRequest aRequest)
+{
+  const idempotency::ClaimAnswer claim = idempotency::ClaimKey(m_table, aKey, DigestOf(aRequest));
+  if (claim.m_decision == ClaimDecision::Repeat) {
+    co_return Restore(*claim.m_answer);
+  }
+  if (claim.m_decision != ClaimDecision::Start) {
+    co_return Refused(claim.m_decision);
+  }
+  auto started = std::make_shared<Started>(m_context);
+  net::asio::co_spawn(
+    m_context, RunClaimed(aKey.m_serial, std::move(aRequest), started), net::asio::detached);
+  co_await started->m_timer.async_wait(net::kAsTuple);
+  if (!started->m_response) {
+    co_return Refused(ClaimDecision::Unknown);
+  }
+  co_return std::move(*started->m_response);
+}
+
+Awaitable<void>
+KeyedCalls::RunClaimed(std::uint64_t aSerial,
+                       HttpRequest aRequest,
+                       std::shared_ptr<Started> aStarted)
+{
+  HttpResponse response = co_await m_runCall(std::move(aRequest));
+  Settle(aSerial, response);
+  aStarted->m_response = std::move(response);
+  aStarted->m_timer.cancel();
+}
+
+} // namespace sequoiastep::node
--- a/modules/node/src/PeerLinks.cpp
+++ b/modules/node/src/PeerLinks.cpp
@@ -1,6 +1,7 @@
 #include "PeerLinks.h"
 
 #include "Address.h"
+#include "Clock.h"
 #include "Log.h"
 
 #include <chrono>
@@ -70,6 +71,7 @@
   hello.region = aIdentity.m_region;
   hello.failure_domain = aIdentity.m_failureDomain;
   hello.format = wire::kFrameFormat;
+  hello.sent_ms = Clock::Now().m_ms;
   return wire::MakeEnvelope(std::move(hello));
 }
 
--- a/modules/node/src/Problem.cpp
+++ b/modules/node/src/Problem.cpp
@@ -28,6 +28,12 @@
   return NameIn(kOutcomeNames, aOutcome);
 }
 
+std::optional<CallOutcome>
+OutcomeNamed(std::string_view aName)
+{
+  return ValueIn(kOutcomeNames, aName);
+}
+
 net::HttpResponse
 MakeProblem(net::http::status aStatus, CallOutcome aOutcome, std::string_view aDetail)
 {
--- a/modules/node/src/Problem.h
+++ b/modules/node/src/Problem.h
@@ -5,6 +5,7 @@
 #include "AsioTypes.h"
 #include "Messages_generated.h"
 
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -16,6 +17,10 @@
 std::string_view
 NameOf(CallOutcome aOutcome);
 
+/// @return the outcome named aName, or nothing.
+std::optional<CallOutcome>
+OutcomeNamed(std::string_view aName);
+
 /// @return an error answer.
 /// @param aDetail what happened and what the caller may do.
 net::HttpResponse
--- a/modules/node/src/Shared.h
+++ b/modules/node/src/Shared.h
@@ -15,9 +15,17 @@
 
 namespace sequoiastep::node {
 
-/// Targets by service, as calls pick among them.
+/// Where a node is reached.
+struct NodeAddress
+{
+  std::string m_address;
+  std::uint64_t m_incarnation = 0;
+};
+
+/// Targets by service, as calls pick among them, and all nodes.
 struct RoutingView
 {
+  std::map<std::string, NodeAddress, std::less<>> m_nodes;
   std::map<std::string, std::vector<routing::Candidate>, std::less<>> m_services;
 };
 
--- /dev/null
+++ b/modules/routing/tests/RoutingTest.cpp
@@ -0,0 +1,267 @@
+#include "Picker.h"
+#include "Retry.h"
+#include "SlotGate.h"
+#include "TransitClock.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+
+using namespace sequoiastep;
+using namespace sequoiastep::routing;
+
+namespace {
+
+constexpr Instant kNow{ 1'000'000 };
+constexpr int kPicks = 3000;
+
+std::vector<Candidate>
+SixTargets()
+{
+  std::vector<Candidate> candidates;
+  for (const char* domain : { "east-a", "east-b", "west-a" }) {
+    for (const char* number : { "1", "2" }) {
+      const std::string region = std::string(domain).substr(0, 4);
+      candidates.push_back({ .m_node = std::string(domain) + number,
+                             .m_region = region,
+                             .m_failureDomain = domain,
+                             .m_slots = 6 });
+    }
+  }
+  return candidates;
+}
+
+std::map<std::string, int>
+CountPicks(const std::vector<Candidate>& aCandidates,
+           const PickState& aState,
+           bool aCrossRegion = true)
+{
+  Random random{ 5 };
+  std::map<std::string, int> counts;
+  for (int i = 0; i < kPicks; ++i) {
+    const auto picked =
+      Pick(aCandidates,
+           aState,
+           { .m_region = "east", .m_failureDomain = "east-a", .m_crossRegion = aCrossRegion },
+           kNow,
+           random);
+    if (picked) {
+      ++counts[aCandidates[*picked].m_node];
+    }
+  }
+  return counts;
+}
+
+} // namespace
+
+TEST_CASE("calls stay in the own domain, spill to the region, then across, and come home")
+{
+  const auto candidates = SixTargets();
+  PickState state;
+  auto counts = CountPicks(candidates, state);
+  CHECK(counts["east-a1"] + counts["east-a2"] == kPicks);
+  state.m_targets["east-a1"].m_outstanding = 6;
+  state.m_targets["east-a2"].m_outstanding = 6;
+  counts = CountPicks(candidates, state);
+  CHECK(counts["east-b1"] + counts["east-b2"] == kPicks);
+  state.m_targets["east-b1"].m_outstanding = 6;
+  state.m_targets["east-b2"].m_outstanding = 6;
+  counts = CountPicks(candidates, state);
+  CHECK(counts["west-a1"] + counts["west-a2"] == kPicks);
+  counts = CountPicks(candidates, state, false);
+  CHECK(counts["west-a1"] + counts["west-a2"] == 0);
+  state.m_targets["east-a2"].m_outstanding = 0;
+  CHECK(CountPicks(candidates, state)["east-a2"] == kPicks);
+}
+
+TEST_CASE("a region whose targets are gone is served by the other one")
+{
+  auto candidates = SixTargets();
+  std::erase_if(candidates,
+                [](const Candidate& aCandidate) { return aCandidate.m_region == "east"; });
+  CHECK(CountPicks(candidates, {}).size() == 2);
+  CHECK(CountPicks(candidates, {}, false).empty());
+}
+
+TEST_CASE("a failing target is avoided for a growing while and tried again")
+{
+  const auto candidates = SixTargets();
+  PickState state;
+  Random random{ 1 };
+  NoteDispatch(state, "east-a1");
+  NoteFailure(state, "east-a1", kNow, random);
+  CHECK(CountPicks(candidates, state)["east-a1"] == 0);
+  const Instant first = state.m_targets["east-a1"].m_avoidUntil;
+  NoteFailure(state, "east-a1", kNow, random);
+  NoteFailure(state, "east-a1", kNow, random);
+  CHECK(state.m_targets["east-a1"].m_avoidUntil > first);
+  CHECK(state.m_targets["east-a1"].m_avoidUntil - kNow <= 5000);
+  NoteAnswer(state, "east-a1", 900, 0, kNow);
+  CHECK(CountPicks(candidates, state)["east-a1"] > 0);
+  CHECK(state.m_targets["east-a1"].m_outstanding == 0);
+}
+
+TEST_CASE("a target that was tried for a call is not tried again for it")
+{
+  const auto candidates = SixTargets();
+  std::set<std::string, std::less<>> tried;
+  Random random{ 3 };
+  for (std::size_t i = 0; i < candidates.size(); ++i) {
+    const auto picked = Pick(candidates,
+                             {},
+                             { .m_region = "east", .m_failureDomain = "east-a", .m_tried = &tried },
+                             kNow,
+                             random);
+    REQUIRE(picked);
+    CHECK(tried.insert(candidates[*picked].m_node).second);
+  }
+  CHECK_FALSE(Pick(candidates,
+                   {},
+                   { .m_region = "east", .m_failureDomain = "east-a", .m_tried = &tried },
+                   kNow,
+                   random));
+}
+
+TEST_CASE("if too few are trusted all are tried")
+{
+  auto candidates = SixTargets();
+  for (std::size_t i = 0; i < 5; ++i) {
+    candidates[i].m_suspect = true;
+  }
+  CHECK(CountPicks(candidates, {}).size() > 1);
+  candidates[3].m_suspect = false;
+  candidates[4].m_suspect = false;
+  const auto counts = CountPicks(candidates, {});
+  CHECK(counts.count("east-a1") + counts.count("east-a2") + counts.count("east-b1") == 0);
+}
+
+TEST_CASE("a cold target gets a share of calls that grows while it warms up")
+{
+  Candidate cold{ .m_node = "cold", .m_slots = 10, .m_warmUpMs = 10'000, .m_upSince = kNow };
+  CHECK(RampShare(cold, kNow) == doctest::Approx(0.1));
+  CHECK(RampShare(cold, kNow + 5000) == doctest::Approx(0.5));
+  CHECK(RampShare(cold, kNow + 10'000) == 1);
+  std::vector<Candidate> candidates = SixTargets();
+  candidates[0].m_warmUpMs = 10'000;
+  candidates[0].m_upSince = kNow;
+  const auto counts = CountPicks(candidates, {});
+  CHECK(counts.at("east-a1") * 2 < counts.at("east-a2"));
+}
+
+TEST_CASE("a load that a target claims wrongly neither draws nor repels all calls for long")
+{
+  const auto candidates = SixTargets();
+  PickState state;
+  // It says that it is full although it answers; the claim is forgotten when it is old.
+  state.m_targets["east-a1"].m_reported = 100;
+  state.m_targets["east-a1"].m_reportedAt = kNow;
+  CHECK(CountPicks(candidates, state)["east-a1"] == 0);
+  state.m_targets["east-a1"].m_reportedAt = kNow + -501;
+  CHECK(CountPicks(candidates, state)["east-a1"] > kPicks / 3);
+  // It says that it is idle although calls of ours wait there.
+  state.m_targets["east-a1"].m_reported = 0;
+  state.m_targets["east-a1"].m_outstanding = 6;
+  CHECK(CountPicks(candidates, state)["east-a1"] == 0);
+}
+
+TEST_CASE("the gate never runs more than its slots, and waits are short and within the deadline")
+{
+  SlotGate gate;
+  gate.m_options = { .m_slots = 2, .m_queue = 3, .m_queueMs = 100 };
+  CHECK(Offer(gate, 1, "a", kNow, kNow + 1000) == Admission::Run);
+  CHECK(Offer(gate, 2, "a", kNow, kNow + 1000) == Admission::Run);
+  CHECK(Offer(gate, 3, "a", kNow, kNow + 1000) == Admission::Wait);
+  CHECK(Offer(gate, 4, "a", kNow, kNow + 50) == Admission::Wait);
+  CHECK(Offer(gate, 5, "a", kNow, kNow + 1000) == Admission::Wait);
+  CHECK(Offer(gate, 6, "a", kNow, kNow + 1000) == Admission::Shed);
+  CHECK(Offer(gate, 7, "a", kNow, kNow) == Admission::Shed);
+  const GateDecision late = Review(gate, kNow + 60);
+  CHECK(late.m_shed == std::vector<std::uint64_t>{ 4 });
+  CHECK(late.m_run.empty());
+  const GateDecision next = Finish(gate, kNow + 70, 70'000);
+  CHECK(next.m_run == std::vector<std::uint64_t>{ 3 });
+  CHECK(gate.m_running == 2);
+  CHECK(Withdraw(gate, 5));
+  CHECK_FALSE(Withdraw(gate, 5));
+  CHECK(gate.m_waiting == 0);
+  // Requests run 70 ms: one that has 10 ms left would wait in vain.
+  CHECK(Offer(gate, 8, "a", kNow + 70, kNow + 80) == Admission::Shed);
+}
+
+TEST_CASE("callers take turns, and one that floods leaves room for the others")
+{
+  SlotGate gate;
+  gate.m_options = { .m_slots = 1, .m_queue = 8, .m_queueMs = 1000 };
+  const Instant deadline = kNow + 10'000;
+  CHECK(Offer(gate, 1, "flood", kNow, deadline) == Admission::Run);
+  std::uint64_t id = 2;
+  CHECK(Offer(gate, id++, "calm", kNow, deadline) == Admission::Wait);
+  int waiting = 0;
+  for (int i = 0; i < 20; ++i) {
+    waiting +=
+      Offer(gate, 100 + static_cast<std::uint64_t>(i), "flood", kNow, deadline) == Admission::Wait
+        ? 1
+        : 0;
+  }
+  CHECK(waiting == 4);
+  CHECK(Offer(gate, 3, "third", kNow, deadline) == Admission::Wait);
+  CHECK(Finish(gate, kNow + 1, 0).m_run == std::vector<std::uint64_t>{ 2 });
+  CHECK(Finish(gate, kNow + 2, 0).m_run == std::vector<std::uint64_t>{ 100 });
+  CHECK(Finish(gate, kNow + 3, 0).m_run == std::vector<std::uint64_t>{ 3 });
+}
+
+TEST_CASE("only what did not run or may be repeated is tried again, inside deadline and budget")
+{
+  RetryBudget budget;
+  const auto may = [&](AttemptOutcome aOutcome,
+                       config::Repeat aRepeat,
+                       std::uint32_t aAttempts = 1,
+                       Milliseconds aLeft = 100) {
+    return MayRetry(
+      budget,
+      { .m_outcome = aOutcome, .m_repeat = aRepeat, .m_attempts = aAttempts, .m_leftMs = aLeft });
+  };
+  CHECK(may(AttemptOutcome::NotRun, config::Repeat::Never));
+  CHECK(may(AttemptOutcome::Overloaded, config::Repeat::Never));
+  CHECK(may(AttemptOutcome::Unknown, config::Repeat::Safe));
+  CHECK_FALSE(may(AttemptOutcome::Unknown, config::Repeat::Never));
+  CHECK_FALSE(may(AttemptOutcome::Done, config::Repeat::Safe));
+  CHECK_FALSE(may(AttemptOutcome::NotRun, config::Repeat::Safe, kMostAttempts));
+  CHECK_FALSE(may(AttemptOutcome::NotRun, config::Repeat::Safe, 1, 1));
+}
+
+TEST_CASE("with every target failing the targets see under 1.2 times the calls")
+{
+  RetryBudget budget;
+  int attempts = 0;
+  constexpr int kCalls = 10'000;
+  for (int call = 0; call < kCalls; ++call) {
+    EarnRetry(budget);
+    std::uint32_t tries = 1;
+    ++attempts;
+    while (MayRetry(budget,
+                    { .m_outcome = AttemptOutcome::Unknown,
+                      .m_repeat = config::Repeat::Safe,
+                      .m_attempts = tries,
+                      .m_leftMs = 500 })) {
+      ++tries;
+      ++attempts;
+    }
+  }
+  CHECK(attempts < kCalls * 12 / 10);
+}
+
+TEST_CASE("a message's time in buffers shows although the clocks are not set alike")
+{
+  TransitClock clock;
+  constexpr Milliseconds kOther = 777'000;
+  CHECK(NoteTransit(clock, kOther, kNow) == 0);
+  CHECK(NoteTransit(clock, kOther + 100, kNow + 105) == 5);
+  CHECK(NoteTransit(clock, kOther + 200, kNow + 700) == 500);
+  CHECK(NoteTransit(clock, kOther + 300, kNow + 299) == 0);
+  // A sender's clock that runs 100 parts in a million slow does not look like a delay.
+  Milliseconds most = 0;
+  for (Milliseconds at = 1000; at < 3'600'000; at += 1000) {
+    most = std::max(most, NoteTransit(clock, kOther + at - at / 10'000, kNow + at));
+  }
+  CHECK(most <= 2);
+}
--- a/modules/wire/include/Messages_generated.h
+++ b/modules/wire/include/Messages_generated.h
@@ -626,6 +626,7 @@
   std::string region{};
   std::string failure_domain{};
   uint16_t format = 0;
+  int64_t sent_ms = 0;
 };
 
 /// First message on each connection, in both directions.
@@ -641,7 +642,8 @@
     VT_ADDRESS = 12,
     VT_REGION = 14,
     VT_FAILURE_DOMAIN = 16,
-    VT_FORMAT = 18
+    VT_FORMAT = 18,
+    VT_SENT_MS = 20
   };
   const flatbuffers::String *mesh() const {
     return GetPointer<const flatbuffers::String *>(VT_MESH);
@@ -667,6 +669,10 @@
   uint16_t format() const {
     return GetField<uint16_t>(VT_FORMAT, 0);
   }
+  /// The sender's monotonic clock in milliseconds, as in Call.
+  int64_t sent_ms() const {
+    return GetField<int64_t>(VT_SENT_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_MESH) &&
@@ -682,6 +688,7 @@
            VerifyOffset(verifier, VT_FAILURE_DOMAIN) &&
            verifier.VerifyString(failure_domain()) &&
            VerifyField<uint16_t>(verifier, VT_FORMAT, 2) &&
+           VerifyField<int64_t>(verifier, VT_SENT_MS, 8) &&
            verifier.EndTable();
   }
   HelloT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -717,6 +724,9 @@
   void add_format(uint16_t format) {
     fbb_.AddElement<uint16_t>(Hello::VT_FORMAT, format, 0);
   }
+  void add_sent_ms(int64_t sent_ms) {
+    fbb_.AddElement<int64_t>(Hello::VT_SENT_MS, sent_ms, 0);
+  }
   explicit HelloBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -737,8 +747,10 @@
     flatbuffers::Offset<flatbuffers::String> address = 0,
     flatbuffers::Offset<flatbuffers::String> region = 0,
     flatbuffers::Offset<flatbuffers::String> failure_domain = 0,
-    uint16_t format = 0) {
+    uint16_t format = 0,
+    int64_t sent_ms = 0) {
   HelloBuilder builder_(_fbb);
+  builder_.add_sent_ms(sent_ms);
   builder_.add_incarnation(incarnation);
   builder_.add_failure_domain(failure_domain);
   builder_.add_region(region);
@@ -764,7 +776,8 @@
     const char *address = nullptr,
     const char *region = nullptr,
     const char *failure_domain = nullptr,
-    uint16_t format = 0) {
+    uint16_t format = 0,
+    int64_t sent_ms = 0) {
   auto mesh__ = mesh ? _fbb.CreateString(mesh) : 0;
   auto node__ = node ? _fbb.CreateString(node) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
@@ -779,7 +792,8 @@
       address__,
       region__,
       failure_domain__,
-      format);
+      format,
+      sent_ms);
 }
 
 flatbuffers::Offset<Hello> CreateHello(flatbuffers::FlatBufferBuilder &_fbb, const HelloT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2412,6 +2426,7 @@
   bool sampled = false;
   std::string key{};
   bool forwarded = false;
+  int64_t sent_ms = 0;
   CallT() = default;
   CallT(const CallT &o);
   CallT(CallT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2436,7 +2451,8 @@
     VT_PARENT_SPAN = 24,
     VT_SAMPLED = 26,
     VT_KEY = 28,
-    VT_FORWARDED = 30
+    VT_FORWARDED = 30,
+    VT_SENT_MS = 32
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -2480,6 +2496,9 @@
   bool forwarded() const {
     return GetField<uint8_t>(VT_FORWARDED, 0) != 0;
   }
+  int64_t sent_ms() const {
+    return GetField<int64_t>(VT_SENT_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -2503,6 +2522,7 @@
            VerifyOffset(verifier, VT_KEY) &&
            verifier.VerifyString(key()) &&
            VerifyField<uint8_t>(verifier, VT_FORWARDED, 1) &&
+           VerifyField<int64_t>(verifier, VT_SENT_MS, 8) &&
            verifier.EndTable();
   }
   CallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2556,6 +2576,9 @@
   void add_forwarded(bool forwarded) {
     fbb_.AddElement<uint8_t>(Call::VT_FORWARDED, static_cast<uint8_t>(forwarded), 0);
   }
+  void add_sent_ms(int64_t sent_ms) {
+    fbb_.AddElement<int64_t>(Call::VT_SENT_MS, sent_ms, 0);
+  }
   explicit CallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2582,8 +2605,10 @@
     uint64_t parent_span = 0,
     bool sampled = false,
     flatbuffers::Offset<flatbuffers::String> key = 0,
-    bool forwarded = false) {
+    bool forwarded = false,
+    int64_t sent_ms = 0) {
   CallBuilder builder_(_fbb);
+  builder_.add_sent_ms(sent_ms);
   builder_.add_parent_span(parent_span);
   builder_.add_trace_low(trace_low);
   builder_.add_trace_high(trace_high);
@@ -2621,7 +2646,8 @@
     uint64_t parent_span = 0,
     bool sampled = false,
     const char *key = nullptr,
-    bool forwarded = false) {
+    bool forwarded = false,
+    int64_t sent_ms = 0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto method__ = method ? _fbb.CreateString(method) : 0;
   auto target__ = target ? _fbb.CreateString(target) : 0;
@@ -2643,7 +2669,8 @@
       parent_span,
       sampled,
       key__,
-      forwarded);
+      forwarded,
+      sent_ms);
 }
 
 flatbuffers::Offset<Call> CreateCall(flatbuffers::FlatBufferBuilder &_fbb, const CallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3208,6 +3235,7 @@
   { auto _e = region(); if (_e) _o->region = _e->str(); }
   { auto _e = failure_domain(); if (_e) _o->failure_domain = _e->str(); }
   { auto _e = format(); _o->format = _e; }
+  { auto _e = sent_ms(); _o->sent_ms = _e; }
 }
 
 inline flatbuffers::Offset<Hello> Hello::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HelloT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3226,6 +3254,7 @@
   auto _region = _o->region.empty() ? 0 : _fbb.CreateString(_o->region);
   auto _failure_domain = _o->failure_domain.empty() ? 0 : _fbb.CreateString(_o->failure_domain);
   auto _format = _o->format;
+  auto _sent_ms = _o->sent_ms;
   return sequoiastep::wire::CreateHello(
       _fbb,
       _mesh,
@@ -3235,7 +3264,8 @@
       _address,
       _region,
       _failure_domain,
-      _format);
+      _format,
+      _sent_ms);
 }
 
 inline MemberEntryT *MemberEntry::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -3842,7 +3872,8 @@
         parent_span(o.parent_span),
         sampled(o.sampled),
         key(o.key),
-        forwarded(o.forwarded) {
+        forwarded(o.forwarded),
+        sent_ms(o.sent_ms) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new sequoiastep::wire::HeaderT(*headers_) : nullptr); }
 }
@@ -3862,6 +3893,7 @@
   std::swap(sampled, o.sampled);
   std::swap(key, o.key);
   std::swap(forwarded, o.forwarded);
+  std::swap(sent_ms, o.sent_ms);
   return *this;
 }
 
@@ -3888,6 +3920,7 @@
   { auto _e = sampled(); _o->sampled = _e; }
   { auto _e = key(); if (_e) _o->key = _e->str(); }
   { auto _e = forwarded(); _o->forwarded = _e; }
+  { auto _e = sent_ms(); _o->sent_ms = _e; }
 }
 
 inline flatbuffers::Offset<Call> Call::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3912,6 +3945,7 @@
   auto _sampled = _o->sampled;
   auto _key = _o->key.empty() ? 0 : _fbb.CreateString(_o->key);
   auto _forwarded = _o->forwarded;
+  auto _sent_ms = _o->sent_ms;
   return sequoiastep::wire::CreateCall(
       _fbb,
       _id,
@@ -3927,7 +3961,8 @@
       _parent_span,
       _sampled,
       _key,
-      _forwarded);
+      _forwarded,
+      _sent_ms);
 }
 
 inline AnswerT::AnswerT(const AnswerT &o)
--- /dev/null
+++ b/tests/whole/small-mesh.sh
@@ -0,0 +1,43 @@
+# A mesh of three nodes for whole-path tests: node 1 without a target, nodes 2 and 3 with one each.
+# Source after tools/mesh.sh.
+
+fail() {
+  echo "failed: $*"
+  tail -n 5 "$MESH_DIR"/*.log
+  exit 1
+}
+
+# expect WHAT WANTED SEEN
+expect() { [ "$2" = "$3" ] || fail "$1: wanted '$2', saw '$3'"; }
+
+start_small_mesh() {
+  start_log "$PORT_BASE" || fail "the log does not answer"
+  start_node 1 node-1 east east-a "${EXTRA:-}"
+  start_node 2 node-2 east east-b "${EXTRA:-}"
+  start_node 3 node-3 west west-a "${EXTRA:-}"
+  start_target 2 jobboard "$@"
+  start_target 3 jobboard "$@"
+  local n
+  for n in 1 2 3; do wait_for 20 node_is_ready $n || fail "node $n is not ready"; done
+  cat >"$MESH_DIR/base.json" <<EOF
+{"services":{"jobboard":{"queue":8,"queue_ms":500}},"clusters":{"jobs":{"service":"jobboard"}},
+ "routes":[{"prefix":"/jobs","cluster":"jobs","repeat":"safe","timeout_ms":2000},
+           {"prefix":"/work","cluster":"jobs","repeat":"never","timeout_ms":2000}]}
+EOF
+  all_served() { [ "$(nodes_up 1)" -ge 3 ] && [ "$(curl -sf "http://$(admin_of 1)/admin/v1/members" | grep -o '"service":"jobboard"' | wc -l)" -ge 2 ]; }
+  wait_for 20 all_served || fail "the members do not know each other"
+  "$BIN/sequoiastep" publish --node "$(admin_of 1)" --base "$MESH_DIR/base.json" --wait >/dev/null || fail "publish"
+}
+
+# How often the targets ran the request with this X-Request-Id, by their own record.
+runs_of() {
+  local n total=0 runs
+  for n in 2 3; do
+    runs=$(curl -sf "http://$(target_of $n)/standin/runs" | grep -oE "\"$1\":[0-9]+" | cut -d: -f2)
+    total=$((total + ${runs:-0}))
+  done
+  echo "$total"
+}
+
+# set_work N MS: how long target N works on a request.
+set_work() { curl -s -d "$2" "http://$(target_of "$1")/standin/work" >/dev/null; }
