--- a/tools/Load.cpp
+++ b/tools/Load.cpp
@@ -52,19 +52,36 @@
   std::string m_prefix;
 };
 
-Awaitable<void>
-SendOne(net::HttpClient& aClient,
-        const Plan& aPlan,
-        std::uint64_t aNumber,
-        std::int64_t aDueUs,
-        Totals& aTotals)
+using Clients = std::vector<std::unique_ptr<net::HttpClient>>;
+
+net::HttpRequest
+MakeRequest(const Plan& aPlan, std::uint64_t aNumber)
 {
   net::HttpRequest request(aPlan.m_method, aPlan.m_path, 11);
   request.set(http::field::host, "load");
   request.set("X-Request-Id", fmt::format("{}-{}", aPlan.m_prefix, aNumber));
   request.body() = aPlan.m_body;
   request.prepare_payload();
-  net::HttpResult result = co_await aClient.Send(std::move(request), kRequestTimeoutMs);
+  return request;
+}
+
+// Sends one request. A node that refuses the connection was sent nothing, so the next one is tried,
+// as a caller that knows several nodes would.
+Awaitable<void>
+SendOne(const Clients& aClients,
+        const Plan& aPlan,
+        std::uint64_t aNumber,
+        std::int64_t aDueUs,
+        Totals& aTotals)
+{
+  net::HttpResult result;
+  for (std::size_t i = 0; i < aClients.size(); ++i) {
+    net::HttpClient& client = *aClients[(aNumber + i) % aClients.size()];
+    result = co_await client.Send(MakeRequest(aPlan, aNumber), kRequestTimeoutMs);
+    if (result.m_response || result.m_failure != net::HttpFailure::NotSent) {
+      break;
+    }
+  }
   aTotals.m_latenciesUs.push_back(Clock::NowMicroseconds() - aDueUs);
   if (!result.m_response) {
     ++aTotals.m_outcomes["no_answer"];
@@ -88,7 +105,7 @@
 
 Awaitable<void>
 RunSchedule(asio::io_context& aContext,
-            std::vector<std::unique_ptr<net::HttpClient>>& aClients,
+            const Clients& aClients,
             const Plan& aPlan,
             std::int64_t aRate,
             std::int64_t aSeconds,
@@ -103,9 +120,8 @@
       timer.expires_at(std::chrono::steady_clock::time_point(std::chrono::microseconds(dueUs)));
       co_await timer.async_wait(net::kAsTuple);
     }
-    net::HttpClient& client = *aClients[static_cast<std::size_t>(i) % aClients.size()];
     asio::co_spawn(aContext,
-                   SendOne(client, aPlan, static_cast<std::uint64_t>(i), dueUs, aTotals),
+                   SendOne(aClients, aPlan, static_cast<std::uint64_t>(i), dueUs, aTotals),
                    asio::detached);
   }
 }
@@ -116,7 +132,7 @@
 RunLoad(const ToolOptions& aOptions)
 {
   asio::io_context context(1);
-  std::vector<std::unique_ptr<net::HttpClient>> clients;
+  Clients clients;
   for (const std::string& address : Split(aOptions.Text("to", "127.0.0.1:8080"))) {
     const auto endpoint = Handle([&] { return net::ParseAddress(address); },
                                  [](const Error&) { return net::tcp::endpoint(); });
