--- a/modules/distribution/include/Controller.h
+++ b/modules/distribution/include/Controller.h
@@ -42,6 +42,10 @@
   TopologyOptions m_topology;
   membership::DetectorOptions m_detector;
   Milliseconds m_heartbeatMs = 1000;
+  /// Heartbeats between regions come this many times as seldom.
+  Milliseconds m_foreignHeartbeatFactor = 5;
+  /// Least time between two heartbeats that only tell changed sums.
+  Milliseconds m_sumsEveryMs = 200;
   /// How long a starting node waits for peers before it turns to the log.
   Milliseconds m_joinWaitMs = 2000;
   /// Joins answered in one second; more are told to come back.
@@ -71,6 +75,8 @@
   Instant m_lastSent;
   std::uint64_t m_peerPosition = 0;
   std::uint64_t m_peerVersion = 0;
+  /// The position up to which records were pushed over the link.
+  std::uint64_t m_pushedUpTo = 0;
   /// When the peer was last known to be in contact with the log.
   std::optional<Instant> m_peerLogContact;
   std::optional<DomainSummary> m_subtree;
@@ -84,8 +90,13 @@
   std::uint32_t m_mismatches = 0;
   /// When this node stopped wanting the link.
   std::optional<Instant> m_unwantedSince;
-  std::uint64_t m_domainsSent = 0;
-  Instant m_domainsSentAt;
+  /// The peer is in another region.
+  bool m_foreign = false;
+  /// Sums of failure domains as they were last sent, and when all of them were.
+  std::map<DomainKey, DomainSummary> m_sumsSent;
+  Instant m_allSumsSentAt;
+  /// A heartbeat goes out for changed sums, no sooner than m_sumsEveryMs after the last one.
+  bool m_sumsDue = false;
 };
 
 /// A connection attempt and its backoff.
--- a/modules/distribution/include/Events.h
+++ b/modules/distribution/include/Events.h
@@ -20,6 +20,7 @@
 {
   std::string m_node;
   std::string m_address;
+  std::string m_region;
   bool m_outbound = false;
 };
 
@@ -71,12 +72,19 @@
   std::vector<std::string> m_bodies;
 };
 
-/// Addresses of nodes out of the directory stream; none if it is empty or can't be read.
-struct DirectoryRead
+/// Peer addresses that a node wrote to the directory stream, all of its region.
+struct DirectoryEntry
 {
+  std::string m_region;
   std::vector<std::string> m_addresses;
 };
 
+/// The newest entries of the directory stream; none if it is empty or can't be read.
+struct DirectoryRead
+{
+  std::vector<DirectoryEntry> m_entries;
+};
+
 /// How an append of a publication ended.
 enum class AppendResult
 {
@@ -190,7 +198,7 @@
 /// Write a sample of live peer addresses to the directory stream.
 struct AppendDirectory
 {
-  std::vector<std::string> m_addresses;
+  DirectoryEntry m_entry;
 };
 
 /// How a publish request ended, as far as it is known.
--- a/modules/distribution/include/Topology.h
+++ b/modules/distribution/include/Topology.h
@@ -26,6 +26,8 @@
   std::size_t m_readers = 3;
   /// Nodes of a domain that readers push to.
   std::size_t m_heads = 3;
+  /// Links between each two regions.
+  std::size_t m_foreignLinks = 2;
   /// Nodes of a domain that readers try at once when none of it answers.
   std::size_t m_probesOfDarkDomain = 32;
 };
--- a/modules/distribution/src/ControllerConfig.cpp
+++ b/modules/distribution/src/ControllerConfig.cpp
@@ -13,11 +13,15 @@
 // record crosses a region link once.
 constexpr Milliseconds kForeignPullDelayMs = 800;
 
+// Tells at the next tick how far this node is, but for those that gave or were given the record.
 void
 MarkHeartbeatsDue(Controller& aController)
 {
+  const std::uint64_t position = aController.m_replay->m_position;
   for (auto& [node, link] : aController.m_links) {
-    link.m_heartbeatDue = true;
+    const bool knows = link.m_peerPosition >= position || link.m_pushedUpTo >= position;
+    link.m_heartbeatDue = link.m_heartbeatDue || !knows;
+    link.m_sumsDue = true;
   }
 }
 
@@ -42,6 +46,7 @@
   if (link == nullptr || link->m_peerPosition >= aPosition) {
     return;
   }
+  link->m_pushedUpTo = aPosition;
   ++aTurn.m_controller.m_counters.m_recordsPushed;
   SendTo(aTurn, aNode, aMessage);
 }
--- a/modules/distribution/src/ControllerHeartbeat.cpp
+++ b/modules/distribution/src/ControllerHeartbeat.cpp
@@ -7,8 +7,8 @@
 
 namespace {
 
-constexpr Milliseconds kDomainsEveryMs = 3000;
-constexpr Milliseconds kSummaryKeepMs = 15'000;
+constexpr Milliseconds kAllSumsEveryMs = 3000;
+constexpr Milliseconds kSummaryKeepMs = 40'000;
 
 wire::DomainSummaryT
 ToWire(const DomainSummary& aSummary)
@@ -75,28 +75,86 @@
   TakeSummary(controller.m_summaries, sum, aTurn.m_now);
 }
 
-// Sums go up to the parent; domain rows go everywhere but up.
+// True if sums of failure domains travel over the link: down the trees and between readers, heads
+// and regions, but not over chords, which would carry them a second time.
+bool
+CarriesSums(const Controller& aController, std::string_view aNode, const Link& aLink)
+{
+  const auto* order = OwnDomainOrder(aController);
+  const std::size_t fanOut = aController.m_options.m_topology.m_fanOut;
+  if (aLink.m_foreign) {
+    return true;
+  }
+  if (order != nullptr && TreeParent(*order, aNode, fanOut) == aController.m_table.m_self) {
+    return true;
+  }
+  const auto readers = aController.m_topology.m_readers.find(aController.m_options.m_region);
+  if (readers == aController.m_topology.m_readers.end()) {
+    return false;
+  }
+  const std::size_t count = aController.m_options.m_topology.m_readers;
+  return RankIn(readers->second, aNode) < count || ReaderRank(aController) < count;
+}
+
+bool
+IsSame(const DomainSummary& aLeft, const DomainSummary& aRight)
+{
+  return aLeft.m_nodes == aRight.m_nodes && aLeft.m_lowestVersion == aRight.m_lowestVersion;
+}
+
+// True if the sum of the domain has to go over the link now. A region is not told its own sums.
+bool
+IsSumDue(const Controller& aController, const Link& aLink, const DomainSummary& aSum, bool aAll)
+{
+  if (aLink.m_foreign && aSum.m_key.m_region != aController.m_options.m_region) {
+    return false;
+  }
+  const auto sent = aLink.m_sumsSent.find(aSum.m_key);
+  return aAll || sent == aLink.m_sumsSent.end() || !IsSame(sent->second, aSum);
+}
+
+void
+NoteSumsChanged(Controller& aController)
+{
+  for (auto& [node, link] : aController.m_links) {
+    if (CarriesSums(aController, node, link)) {
+      link.m_sumsDue = true;
+    }
+  }
+}
+
+std::string
+OwnParent(const Controller& aController)
+{
+  const auto* order = OwnDomainOrder(aController);
+  const std::size_t fanOut = aController.m_options.m_topology.m_fanOut;
+  return order == nullptr ? std::string() : TreeParent(*order, aController.m_table.m_self, fanOut);
+}
+
+// Sums go up to the parent; rows of whole domains go down and across.
 void
 AddSums(Turn& aTurn, std::string_view aNode, Link& aLink, wire::HeartbeatT& aHeartbeat)
 {
   Controller& controller = aTurn.m_controller;
-  const auto* order = OwnDomainOrder(controller);
-  const std::size_t fanOut = controller.m_options.m_topology.m_fanOut;
-  const bool toParent =
-    order != nullptr && TreeParent(*order, controller.m_table.m_self, fanOut) == aNode;
-  if (toParent) {
-    aHeartbeat.subtree = std::make_unique<wire::DomainSummaryT>(ToWire(OwnSubtree(controller)));
-    return;
+  aLink.m_sumsDue = false;
+  if (OwnParent(controller) == aNode) {
+    DomainSummary subtree = OwnSubtree(controller);
+    subtree.m_key = {}; // The parent is of the same domain.
+    aHeartbeat.subtree = std::make_unique<wire::DomainSummaryT>(ToWire(subtree));
   }
-  const bool due = aLink.m_domainsSent != controller.m_summaries.m_changes ||
-                   aTurn.m_now - aLink.m_domainsSentAt >= kDomainsEveryMs;
-  if (!due) {
+  if (!CarriesSums(controller, aNode, aLink)) {
     return;
   }
-  aLink.m_domainsSent = controller.m_summaries.m_changes;
-  aLink.m_domainsSentAt = aTurn.m_now;
+  const Milliseconds factor = aLink.m_foreign ? controller.m_options.m_foreignHeartbeatFactor : 1;
+  const bool all = aTurn.m_now - aLink.m_allSumsSentAt >= kAllSumsEveryMs * factor;
+  if (all) {
+    aLink.m_allSumsSentAt = aTurn.m_now;
+  }
   for (const auto& [key, entry] : controller.m_summaries.m_domains) {
-    aHeartbeat.domains.push_back(std::make_unique<wire::DomainSummaryT>(ToWire(entry.m_summary)));
+    if (IsSumDue(controller, aLink, entry.m_summary, all)) {
+      aLink.m_sumsSent[key] = entry.m_summary;
+      aHeartbeat.domains.push_back(std::make_unique<wire::DomainSummaryT>(ToWire(entry.m_summary)));
+    }
   }
 }
 
@@ -106,21 +164,20 @@
   Controller& controller = aTurn.m_controller;
   if (aHeartbeat.subtree) {
     const DomainSummary subtree = FromWire(*aHeartbeat.subtree);
-    const bool changed = !aLink.m_subtree || aLink.m_subtree->m_nodes != subtree.m_nodes ||
-                         aLink.m_subtree->m_lowestVersion != subtree.m_lowestVersion;
+    const bool changed = !aLink.m_subtree || !IsSame(*aLink.m_subtree, subtree);
     aLink.m_subtree = subtree;
-    const auto* order = OwnDomainOrder(controller);
-    if (changed && order != nullptr) {
-      const std::size_t fanOut = controller.m_options.m_topology.m_fanOut;
-      Link* parent = FindLink(controller, TreeParent(*order, controller.m_table.m_self, fanOut));
-      if (parent != nullptr) {
-        parent->m_heartbeatDue = true;
-      }
+    Link* parent = FindLink(controller, OwnParent(controller));
+    if (changed && parent != nullptr) {
+      parent->m_sumsDue = true;
     }
   }
+  const std::uint64_t changes = controller.m_summaries.m_changes;
   for (const auto& row : aHeartbeat.domains) {
     TakeSummary(controller.m_summaries, FromWire(*row), aTurn.m_now);
   }
+  if (controller.m_summaries.m_changes != changes) {
+    NoteSumsChanged(controller);
+  }
 }
 
 } // namespace
@@ -166,13 +223,23 @@
 TickHeartbeats(Turn& aTurn)
 {
   Controller& controller = aTurn.m_controller;
-  const std::uint64_t changes = controller.m_summaries.m_changes;
   DropStale(controller.m_summaries, aTurn.m_now, kSummaryKeepMs);
+  const std::uint64_t changes = controller.m_summaries.m_changes;
   SummarizeOwnDomain(aTurn);
+  if (controller.m_summaries.m_changes != changes) {
+    NoteSumsChanged(controller);
+  }
+  const ControllerOptions& options = controller.m_options;
   for (auto& [node, link] : controller.m_links) {
-    const bool sumsChanged = link.m_domainsSent != changes;
-    if (link.m_heartbeatDue || sumsChanged ||
-        aTurn.m_now - link.m_lastSent >= controller.m_options.m_heartbeatMs) {
+    if (link.m_behindSince) {
+      PullIfBehind(aTurn, node); // Between regions the next heartbeat may be seconds away.
+    }
+    const Milliseconds silence = aTurn.m_now - link.m_lastSent;
+    const Milliseconds every = link.m_foreign
+                                 ? options.m_heartbeatMs * options.m_foreignHeartbeatFactor
+                                 : options.m_heartbeatMs;
+    const bool sumsDue = link.m_sumsDue && silence >= options.m_sumsEveryMs;
+    if (link.m_heartbeatDue || sumsDue || silence >= every) {
       SendHeartbeat(aTurn, node, link, 0);
     }
   }
--- a/modules/distribution/src/ControllerJoin.cpp
+++ b/modules/distribution/src/ControllerJoin.cpp
@@ -144,9 +144,16 @@
       known.insert(record.m_member.m_address);
     }
   }
-  for (const std::string& address : aRead.m_addresses) {
-    if (!known.contains(address)) {
-      DialAddress(aTurn, address);
+  // A starter turns to its own region first: what it is told by another one crosses a paid link.
+  const bool homeFailed = aTurn.m_now - controller.m_startedAt > kJoinAnswerMs / 2;
+  for (const DirectoryEntry& entry : aRead.m_entries) {
+    if (entry.m_region != controller.m_options.m_region && !homeFailed) {
+      continue;
+    }
+    for (const std::string& address : entry.m_addresses) {
+      if (!known.contains(address)) {
+        DialAddress(aTurn, address);
+      }
     }
   }
 }
--- a/modules/distribution/src/ControllerLinks.cpp
+++ b/modules/distribution/src/ControllerLinks.cpp
@@ -19,10 +19,18 @@
 constexpr std::uint32_t kFailuresToAccuse = 2;
 constexpr std::size_t kWitnesses = 3;
 
+// Silence after which a link counts as broken.
+Milliseconds
+MostSilence(const Controller& aController, const Link& aLink)
+{
+  const Milliseconds home = aController.m_options.m_detector.m_suspectAfterMs;
+  return aLink.m_foreign ? home * aController.m_options.m_foreignHeartbeatFactor : home;
+}
+
 bool
 IsFresh(const Controller& aController, const Link& aLink, Instant aNow)
 {
-  return aNow - aLink.m_lastHeard < aController.m_options.m_detector.m_suspectAfterMs;
+  return aNow - aLink.m_lastHeard < MostSilence(aController, aLink);
 }
 
 // Judged by fresher news than a neighbour is accused by: when this node itself is cut off, all
@@ -30,19 +38,20 @@
 membership::LinkHealth
 HealthOfLinks(const Controller& aController, Instant aNow)
 {
-  membership::LinkHealth health{ .m_wanted = aController.m_wanted.size() };
+  membership::LinkHealth health;
   const Member& self = Self(aController);
+  for (const std::string& node : aController.m_wanted) {
+    const Member* peer = FindMember(aController, node);
+    health.m_wanted += peer != nullptr && peer->m_region == self.m_region ? 1 : 0;
+  }
   const Milliseconds recent = aController.m_options.m_heartbeatMs * 3 / 2;
   for (const auto& [node, link] : aController.m_links) {
     if (aNow - link.m_lastHeard >= recent) {
       continue;
     }
-    if (aController.m_wanted.contains(node)) {
-      ++health.m_working;
-    }
+    health.m_working += !link.m_foreign && aController.m_wanted.contains(node) ? 1 : 0;
     const Member* peer = FindMember(aController, node);
-    health.m_witness =
-      health.m_witness || (peer != nullptr && peer->m_failureDomain != self.m_failureDomain);
+    health.m_witness = health.m_witness || (peer != nullptr && peer->m_failureDomain != self.m_failureDomain);
   }
   return health;
 }
@@ -131,8 +140,8 @@
     if (!doubting) {
       AccuseMember(aTurn, node);
     }
-    const Milliseconds silence = aTurn.m_now - controller.m_links.at(node).m_lastHeard;
-    if (silence > 2 * controller.m_options.m_detector.m_suspectAfterMs) {
+    const Link& link = controller.m_links.at(node);
+    if (aTurn.m_now - link.m_lastHeard > 2 * MostSilence(controller, link)) {
       aTurn.m_actions.emplace_back(CloseLink{ .m_node = node });
       controller.m_links.erase(node);
     }
@@ -211,6 +220,7 @@
   link.m_outbound = aOpened.m_outbound;
   link.m_openedAt = aTurn.m_now;
   link.m_lastHeard = aTurn.m_now;
+  link.m_foreign = aOpened.m_region != controller.m_options.m_region;
   controller.m_links.insert_or_assign(aOpened.m_node, link);
   if (controller.m_phase != JoinPhase::Joined && controller.m_phase != JoinPhase::Joining) {
     AskToJoin(aTurn, aOpened.m_node);
--- a/modules/distribution/src/ControllerLog.cpp
+++ b/modules/distribution/src/ControllerLog.cpp
@@ -124,7 +124,9 @@
   const auto jitter =
     static_cast<Milliseconds>(controller.m_random.Below(static_cast<std::uint64_t>(every / 4 + 1)));
   controller.m_nextDirectory = aTurn.m_now + (every - jitter);
-  aTurn.m_actions.emplace_back(AppendDirectory{ .m_addresses = SampleOfLiveAddresses(controller) });
+  aTurn.m_actions.emplace_back(
+    AppendDirectory{ { .m_region = controller.m_options.m_region,
+                       .m_addresses = SampleOfLiveAddresses(controller) } });
   AskDirectory(aTurn); // Nodes that nobody here knows may have written to it.
 }
 
--- a/modules/distribution/src/Topology.cpp
+++ b/modules/distribution/src/Topology.cpp
@@ -93,9 +93,15 @@
     }
   }
   for (const auto& [region, order] : aTopology.m_readers) {
-    const bool home = region == aSelf.m_region;
-    // Two across each region link suffice: the third would only cost paid bytes.
-    AddAll(aLinks, FirstOthers(order, home ? aOptions.m_readers : 2, aSelf.m_node));
+    if (region == aSelf.m_region) {
+      AddAll(aLinks, FirstOthers(order, aOptions.m_readers, aSelf.m_node));
+      continue;
+    }
+    // Each of the first ranks is linked to its like: bytes between regions are paid for.
+    const std::size_t rank = ReaderRank(aTopology, aSelf);
+    if (rank < aOptions.m_foreignLinks && rank < order.size()) {
+      aLinks.insert(order[rank]);
+    }
   }
 }
 
--- a/modules/distribution/tests/FakeMesh.cpp
+++ b/modules/distribution/tests/FakeMesh.cpp
@@ -161,8 +161,12 @@
       return; // The other side was faster.
     }
     m_links[{ aFrom, aTo }] = m_links[{ aTo, aFrom }] = m_nextNumber++;
-    Feed(aFrom, LinkOpened{ .m_node = aTo, .m_address = aTo, .m_outbound = true });
-    Feed(aTo, LinkOpened{ .m_node = aFrom, .m_address = aFrom, .m_outbound = false });
+    Feed(
+      aFrom,
+      LinkOpened{ .m_node = aTo, .m_address = aTo, .m_region = to.m_region, .m_outbound = true });
+    Feed(aTo,
+         LinkOpened{
+           .m_node = aFrom, .m_address = aFrom, .m_region = from.m_region, .m_outbound = false });
   });
 }
 
@@ -273,8 +277,7 @@
     if (!LogFails(aNode)) {
       const std::size_t entries = m_log.m_directory.size();
       for (std::size_t i = entries - std::min(entries, kNewestDirectoryEntries); i < entries; ++i) {
-        const auto& addresses = m_log.m_directory[i];
-        event.m_addresses.insert(event.m_addresses.end(), addresses.begin(), addresses.end());
+        event.m_entries.push_back(m_log.m_directory[i]);
       }
     }
     At(m_log.m_delayMs, [this, aNode, event] { Feed(aNode, event); });
@@ -287,7 +290,7 @@
     }
   } else if (const auto* directory = std::get_if<AppendDirectory>(&aAction)) {
     if (!LogFails(aNode)) {
-      m_log.m_directory.push_back(directory->m_addresses);
+      m_log.m_directory.push_back(directory->m_entry);
     }
   } else if (const auto* answer = std::get_if<AnswerPublish>(&aAction)) {
     m_nodes.at(aNode).m_answers[answer->m_request] = *answer;
@@ -403,7 +406,12 @@
 FakeMesh::RunUntil(const std::function<bool()>& aDone, Milliseconds aMost)
 {
   const Instant end = m_now + aMost;
-  while (!aDone()) {
+  Instant looked{ -1 };
+  for (;;) {
+    if (looked != m_now && aDone()) {
+      return true;
+    }
+    looked = m_now;
     if (m_queue.empty() || m_queue.begin()->first > end.m_ms) {
       m_now = end;
       return aDone();
@@ -412,7 +420,6 @@
     m_now = Instant{ std::max(m_now.m_ms, item.key()) };
     item.mapped()();
   }
-  return true;
 }
 
 std::string
@@ -458,23 +465,33 @@
 bool
 FakeMesh::AllKnowEachOther() const
 {
-  const std::size_t live = CountLive();
-  return std::all_of(m_nodes.begin(), m_nodes.end(), [&](const auto& aItem) {
-    const FakeNode& node = aItem.second;
+  const FakeNode* first = nullptr;
+  for (const auto& [name, node] : m_nodes) {
     if (!node.m_alive) {
-      return true;
+      continue;
     }
-    std::size_t up = 0;
-    for (const auto& [name, record] : node.m_controller.m_table.m_members) {
-      const bool claims = record.m_member.m_state == membership::MemberState::Up ||
-                          record.m_member.m_state == membership::MemberState::Draining;
-      if (claims != m_nodes.at(name).m_alive) {
-        return false;
-      }
-      up += claims ? 1 : 0;
+    first = first == nullptr ? &node : first;
+    if (!node.m_ready || node.m_controller.m_memberDigest != first->m_controller.m_memberDigest) {
+      return false;
     }
-    return node.m_ready && up == live;
-  });
+  }
+  return first != nullptr && KnowsAll(*first);
+}
+
+// True if the node takes exactly the live nodes for alive.
+bool
+FakeMesh::KnowsAll(const FakeNode& aNode) const
+{
+  std::size_t up = 0;
+  for (const auto& [name, record] : aNode.m_controller.m_table.m_members) {
+    const bool claims = record.m_member.m_state == membership::MemberState::Up ||
+                        record.m_member.m_state == membership::MemberState::Draining;
+    if (claims != m_nodes.at(name).m_alive) {
+      return false;
+    }
+    up += claims ? 1 : 0;
+  }
+  return up == CountLive();
 }
 
 std::string
--- a/modules/distribution/tests/FakeMesh.h
+++ b/modules/distribution/tests/FakeMesh.h
@@ -20,7 +20,7 @@
 {
   std::vector<std::string> m_config;
   std::vector<std::string> m_checkpoints;
-  std::vector<std::vector<std::string>> m_directory;
+  std::vector<DirectoryEntry> m_directory;
   /// Offsets below this one have expired.
   std::uint64_t m_first = 0;
   bool m_outage = false;
@@ -113,6 +113,7 @@
   void Start(const std::string& aNode);
   void At(Milliseconds aDelay, std::function<void()> aWork);
   void Tick(const std::string& aNode, std::uint64_t aIncarnation);
+  bool KnowsAll(const FakeNode& aNode) const;
   bool CanReach(const std::string& aLeft, const std::string& aRight) const;
   void Perform(const std::string& aNode, const Action& aAction);
   void Open(const std::string& aFrom, const std::string& aTo);
--- a/modules/node/src/ControlDuty.cpp
+++ b/modules/node/src/ControlDuty.cpp
@@ -65,32 +65,45 @@
 }
 
 std::string
-DirectoryText(const std::vector<std::string>& aAddresses)
+DirectoryText(const distribution::DirectoryEntry& aEntry)
 {
   boost::json::array addresses;
-  for (const std::string& address : aAddresses) {
+  for (const std::string& address : aEntry.m_addresses) {
     addresses.emplace_back(address);
   }
-  return boost::json::serialize(boost::json::object{ { "addresses", addresses } });
+  return boost::json::serialize(
+    boost::json::object{ { "region", aEntry.m_region }, { "addresses", addresses } });
+}
+
+// Gives nothing if the entry can't be read: any one good entry is enough for a starter.
+std::optional<distribution::DirectoryEntry>
+ParseDirectoryEntry(const std::string& aBody)
+{
+  boost::system::error_code error;
+  const boost::json::value value = boost::json::parse(aBody, error);
+  const auto* object = error ? nullptr : value.if_object();
+  const auto* addresses = object == nullptr ? nullptr : object->if_contains("addresses");
+  const auto* region = object == nullptr ? nullptr : object->if_contains("region");
+  if (addresses == nullptr || !addresses->is_array() || region == nullptr || !region->is_string()) {
+    return std::nullopt;
+  }
+  distribution::DirectoryEntry entry;
+  entry.m_region = std::string(region->get_string());
+  for (const boost::json::value& address : addresses->get_array()) {
+    if (address.is_string()) {
+      entry.m_addresses.emplace_back(address.get_string());
+    }
+  }
+  return entry;
 }
 
-// Entries that can't be read are passed over: any one good address is enough.
 distribution::DirectoryRead
 ParseDirectory(const platform::ReadReply& aReply)
 {
   distribution::DirectoryRead read;
-  for (const platform::LogEntry& entry : aReply.m_entries) {
-    boost::system::error_code error;
-    const boost::json::value value = boost::json::parse(entry.m_body, error);
-    const auto* object = error ? nullptr : value.if_object();
-    const auto* addresses = object == nullptr ? nullptr : object->if_contains("addresses");
-    if (addresses == nullptr || !addresses->is_array()) {
-      continue;
-    }
-    for (const boost::json::value& address : addresses->get_array()) {
-      if (address.is_string()) {
-        read.m_addresses.emplace_back(address.get_string());
-      }
+  for (const platform::LogEntry& logEntry : aReply.m_entries) {
+    if (auto entry = ParseDirectoryEntry(logEntry.m_body)) {
+      read.m_entries.push_back(std::move(*entry));
     }
   }
   return read;
@@ -179,7 +192,7 @@
   void operator()(const distribution::AppendDirectory& aAction) const
   {
     m_duty.m_log->Append(m_duty.Stream("directory"),
-                         DirectoryText(aAction.m_addresses),
+                         DirectoryText(aAction.m_entry),
                          [](const platform::AppendReply&) {});
   }
   void operator()(const distribution::AnswerPublish& aAction) const
--- a/modules/node/src/PeerLinks.cpp
+++ b/modules/node/src/PeerLinks.cpp
@@ -229,6 +229,7 @@
     });
   m_onEvent(distribution::LinkOpened{ .m_node = node,
                                       .m_address = aDialled.empty() ? aHello.address : aDialled,
+                                      .m_region = aHello.region,
                                       .m_outbound = !aDialled.empty() });
 }
 
