--- a/modules/distribution/include/Controller.h
+++ b/modules/distribution/include/Controller.h
@@ -193,6 +193,7 @@
   std::uint32_t m_recordsSinceCheckpoint = 0;
   Instant m_nextDirectory;
   Instant m_nextGoneProbe;
+  Instant m_nextJudgement;
 
   std::vector<WaitingPublish> m_publishes;
   std::map<std::string, membership::Member, std::less<>> m_outbox;
--- a/modules/distribution/src/ControllerLinks.cpp
+++ b/modules/distribution/src/ControllerLinks.cpp
@@ -14,6 +14,7 @@
 constexpr Milliseconds kDialBackoffLeastMs = 200;
 constexpr Milliseconds kDialBackoffMostMs = 5000;
 constexpr Milliseconds kCloseUnwantedMs = 10'000;
+constexpr Milliseconds kCloseUnwantedForeignMs = 2000;
 constexpr Milliseconds kGoneProbeEveryMs = 5000;
 constexpr Milliseconds kDarkAfterStartMs = 3000;
 constexpr std::uint32_t kFailuresToAccuse = 2;
@@ -51,7 +52,8 @@
     }
     health.m_working += !link.m_foreign && aController.m_wanted.contains(node) ? 1 : 0;
     const Member* peer = FindMember(aController, node);
-    health.m_witness = health.m_witness || (peer != nullptr && peer->m_failureDomain != self.m_failureDomain);
+    health.m_witness =
+      health.m_witness || (peer != nullptr && peer->m_failureDomain != self.m_failureDomain);
   }
   return health;
 }
@@ -162,7 +164,8 @@
     if (!link.m_unwantedSince) {
       link.m_unwantedSince = aTurn.m_now;
     }
-    if (aTurn.m_now - *link.m_unwantedSince > kCloseUnwantedMs) {
+    const Milliseconds keep = link.m_foreign ? kCloseUnwantedForeignMs : kCloseUnwantedMs;
+    if (aTurn.m_now - *link.m_unwantedSince > keep) {
       closing.push_back(node);
     }
   }
--- a/modules/distribution/src/ControllerMembers.cpp
+++ b/modules/distribution/src/ControllerMembers.cpp
@@ -13,6 +13,8 @@
 namespace {
 
 constexpr Milliseconds kDigestsAgainMs = 1000;
+// Judging walks the whole member list, which need not be done at each tick.
+constexpr Milliseconds kJudgeEveryMs = 500;
 constexpr std::uint32_t kMismatchesBeforeExchange = 2;
 constexpr std::size_t kEntriesInOneMessage = 400;
 
@@ -45,6 +47,16 @@
   }
 }
 
+// While roles move, more links between regions are open than are wanted. Changes go over the wanted
+// ones only; the exchange of digests makes up for what is missed.
+void
+SendChange(Turn& aTurn, const std::string& aNode, const Link& aLink, const MessagePtr& aMessage)
+{
+  if (!aLink.m_foreign || aTurn.m_controller.m_wanted.contains(aNode)) {
+    SendTo(aTurn, aNode, aMessage);
+  }
+}
+
 } // namespace
 
 void
@@ -186,6 +198,10 @@
 TickMembers(Turn& aTurn)
 {
   Controller& controller = aTurn.m_controller;
+  if (aTurn.m_now < controller.m_nextJudgement) {
+    return;
+  }
+  controller.m_nextJudgement = aTurn.m_now + kJudgeEveryMs;
   for (const Member& gone :
        membership::DeclareGone(controller.m_detector, controller.m_table, aTurn.m_now)) {
     LogLine(LogLevel::Warning, "member_gone").Add("node", gone.m_node);
@@ -207,14 +223,14 @@
     }
     const MessagePtr message = ShareMessage(std::move(update));
     for (const auto& [node, link] : controller.m_links) {
-      SendTo(aTurn, node, message);
+      SendChange(aTurn, node, link, message);
     }
     controller.m_outbox.clear();
   }
   for (wire::AccusationT& accusation : controller.m_accusationOutbox) {
     const MessagePtr message = ShareMessage(std::move(accusation));
     for (const auto& [node, link] : controller.m_links) {
-      SendTo(aTurn, node, message);
+      SendChange(aTurn, node, link, message);
     }
   }
   controller.m_accusationOutbox.clear();
