Claim callers' own idempotency keys in the log

Cause: keys that callers make up were refused with 422. The first claim in the log's order owns a key; two nodes of each region hold the index of a claim stream, as a soft role, and the claimant alone runs the request and remembers its answer. Ruled out: letting the entering node claim, which would make every node read every claim stream.

--- a/modules/idempotency/include/IssuedKeys.h
+++ b/modules/idempotency/include/IssuedKeys.h
@@ -120,6 +120,10 @@
 ClaimAnswer
 ClaimKey(KeyTable& aTable, const IssuedKey& aKey, std::uint64_t aRequest);
 
+/// Decides about a request by the serial of its key alone, which must belong to this table.
+ClaimAnswer
+ClaimSerial(KeyTable& aTable, std::uint64_t aSerial, std::uint64_t aRequest);
+
 /// The claimed request was answered.
 void
 FinishClaim(KeyTable& aTable, std::uint64_t aSerial, RememberedAnswer aAnswer);
--- a/modules/idempotency/src/IssuedKeys.cpp
+++ b/modules/idempotency/src/IssuedKeys.cpp
@@ -138,14 +138,20 @@
   if (aKey.m_serial >= aTable.m_nextSerial || aKey.m_check != CheckOf(aTable, aKey.m_serial)) {
     return { .m_decision = ClaimDecision::NotIssued, .m_answer = nullptr };
   }
-  const auto claimed = aTable.m_claims.find(aKey.m_serial);
+  return ClaimSerial(aTable, aKey.m_serial, aRequest);
+}
+
+ClaimAnswer
+ClaimSerial(KeyTable& aTable, std::uint64_t aSerial, std::uint64_t aRequest)
+{
+  const auto claimed = aTable.m_claims.find(aSerial);
   if (claimed != aTable.m_claims.end()) {
     return AnswerClaimed(claimed->second, aRequest);
   }
-  if (aKey.m_serial <= aTable.m_forgottenUpTo) {
+  if (aSerial <= aTable.m_forgottenUpTo) {
     return { .m_decision = ClaimDecision::Unknown, .m_answer = nullptr };
   }
-  aTable.m_claims.emplace(aKey.m_serial, Claim{ .m_request = aRequest });
+  aTable.m_claims.emplace(aSerial, Claim{ .m_request = aRequest });
   ForgetOldest(aTable);
   return { .m_decision = ClaimDecision::Start, .m_answer = nullptr };
 }
--- a/modules/node/include/Settings.h
+++ b/modules/node/include/Settings.h
@@ -23,6 +23,8 @@
   std::uint64_t m_joinsPerSecond = 8;
   std::uint64_t m_rememberedKeys = 20'000;
   std::uint64_t m_rememberedAnswerBytes = 4U << 20;
+  /// How long the log keeps claims of callers' own keys for certain, in milliseconds.
+  std::uint64_t m_ownKeyRetentionMs = 3'600'000;
 };
 
 /// Times, in milliseconds.
--- a/modules/node/src/CallsDuty.cpp
+++ b/modules/node/src/CallsDuty.cpp
@@ -36,12 +36,8 @@
 // The node beside the target keeps the deadline itself; its answer is truer than a timeout here.
 constexpr Milliseconds kAnswerGraceMs = 30;
 constexpr std::uint32_t kCloseIdleTicks = 1000;
-constexpr std::array<double, 4> kQuantiles{ 0.5, 0.9, 0.99, 0.999 };
 constexpr std::string_view kReservedPrefix = "/.sequoiastep/";
 constexpr std::string_view kKeysPath = "/.sequoiastep/v1/keys";
-constexpr std::string_view kKeyHeader = "Idempotency-Key";
-constexpr std::string_view kOutcomeHeader = "Sequoiastep-Outcome";
-constexpr Milliseconds kIssuerMs = 30'000;
 
 std::optional<std::uint64_t>
 NumberHeader(const HttpRequest& aRequest, std::string_view aName)
@@ -55,20 +51,6 @@
   return number;
 }
 
-HttpResponse
-ResponseFrom(const AnswerT& aAnswer)
-{
-  HttpResponse response;
-  response.version(11);
-  response.result(aAnswer.status);
-  for (const auto& header : aAnswer.headers) {
-    response.insert(header->name, header->value);
-  }
-  response.body().assign(aAnswer.body.begin(), aAnswer.body.end());
-  response.prepare_payload();
-  return response;
-}
-
 // Counts one call for as long as it is in progress.
 class InProgress
 {
@@ -139,6 +121,12 @@
             { .m_maxClaims = aSettings.m_limits.m_rememberedKeys,
               .m_maxAnswerBytes = aSettings.m_limits.m_rememberedAnswerBytes },
             [this](HttpRequest aRequest) { return Route(std::move(aRequest)); })
+  , m_ownKeys(
+      aContext,
+      { .m_mesh = aSettings.m_mesh,
+        .m_node = aIdentity.m_node,
+        .m_incarnation = aIdentity.m_incarnation,
+        .m_retentionMs = static_cast<Milliseconds>(aSettings.m_limits.m_ownKeyRetentionMs) })
   , m_callerServer(
       aContext,
       { .m_maxHeaderBytes = static_cast<std::uint32_t>(aSettings.m_limits.m_maxHeaderBytes),
@@ -151,10 +139,16 @@
       { .m_maxBodyBytes = 64U << 10, .m_maxConnections = 16 },
       [this](HttpRequest aRequest) { return m_targetApi.Handle(std::move(aRequest)); },
       MakeBadRequest)
-  , m_latency(accumulators::extended_p_square_probabilities = kQuantiles)
+  , m_latency(accumulators::extended_p_square_probabilities = kLatencyQuantiles)
 {
 }
 
+void
+CallsDuty::SetLog(platform::LogClient& aLog)
+{
+  m_ownKeys.SetLog(aLog);
+}
+
 Result<void>
 CallsDuty::Listen()
 {
@@ -260,7 +254,7 @@
                           CallOutcome::NotRun,
                           "paths under /.sequoiastep/ are reserved and this one is not served now");
   }
-  if (aRequest.count(std::string(kKeyHeader)) > 0) {
+  if (aRequest.count(std::string(kKeyField)) > 0) {
     HttpResponse response = co_await RouteKeyed(std::move(aRequest));
     co_return response;
   }
@@ -319,94 +313,6 @@
   co_return response;
 }
 
-Awaitable<HttpResponse>
-CallsDuty::RouteKeyed(HttpRequest aRequest)
-{
-  const auto key = idempotency::ParseIssuedKey(aRequest[std::string(kKeyHeader)]);
-  if (!key) {
-    CountOutcome(CallOutcome::NotRun);
-    co_return MakeProblem(http::status::unprocessable_entity,
-                          CallOutcome::NotRun,
-                          "this is no key that a node issued; fetch keys with POST "
-                          "/.sequoiastep/v1/keys");
-  }
-  if (m_keyed.IsOwn(*key)) {
-    HttpResponse response = co_await m_keyed.Handle(*key, std::move(aRequest));
-    co_return response;
-  }
-  HttpResponse response = co_await AskIssuer(*key, std::move(aRequest));
-  co_return response;
-}
-
-// Only the issuer knows what became of its key. If it can't be asked, nobody can say.
-Awaitable<HttpResponse>
-CallsDuty::AskIssuer(idempotency::IssuedKey aKey, HttpRequest aRequest)
-{
-  const auto view = m_shared.m_view.load();
-  const auto issuer = view->m_nodes.find(aKey.m_node);
-  if (issuer == view->m_nodes.end() || issuer->second.m_incarnation != aKey.m_incarnation) {
-    CountOutcome(CallOutcome::Unknown);
-    co_return MakeProblem(http::status::gateway_timeout,
-                          CallOutcome::Unknown,
-                          "the node that issued this key is gone; ask the service whether the "
-                          "request was run before sending it under a new key");
-  }
-  CallT call;
-  call.forwarded = true;
-  call.method = aRequest.method_string();
-  call.target = aRequest.target();
-  for (const auto& field : aRequest) {
-    auto header = std::make_unique<wire::HeaderT>();
-    header->name = field.name_string();
-    header->value = field.value();
-    call.headers.push_back(std::move(header));
-  }
-  call.body.assign(aRequest.body().begin(), aRequest.body().end());
-  const std::string address = issuer->second.m_address;
-  CallReply reply = co_await m_links.Call(aKey.m_node, address, std::move(call), kIssuerMs);
-  if (reply.m_kind != CallReply::Kind::Answered) {
-    CountOutcome(CallOutcome::Unknown);
-    co_return MakeProblem(http::status::gateway_timeout,
-                          CallOutcome::Unknown,
-                          "the node that issued this key can't be asked now; ask again later, "
-                          "under the same key");
-  }
-  CountOutcome(reply.m_answer.outcome);
-  HttpResponse response = ResponseFrom(reply.m_answer);
-  if (reply.m_answer.outcome != CallOutcome::Done) {
-    response.set(std::string(kOutcomeHeader), NameOf(reply.m_answer.outcome));
-  }
-  co_return response;
-}
-
-// A request with a key of this node that entered at another one.
-Awaitable<AnswerT>
-CallsDuty::AnswerForwarded(CallT aCall)
-{
-  HttpRequest request;
-  request.version(11);
-  request.method_string(aCall.method);
-  request.target(aCall.target);
-  for (const auto& header : aCall.headers) {
-    request.insert(header->name, header->value);
-  }
-  request.body().assign(aCall.body.begin(), aCall.body.end());
-  AnswerT answer;
-  const auto key = idempotency::ParseIssuedKey(request[std::string(kKeyHeader)]);
-  if (!key || !m_keyed.IsOwn(*key)) {
-    answer.outcome = CallOutcome::Unknown;
-    answer.status = static_cast<std::uint16_t>(http::status::gateway_timeout);
-    co_return answer;
-  }
-  HttpResponse response = co_await m_keyed.Handle(*key, std::move(request));
-  const std::string_view outcome = response.base()[std::string(kOutcomeHeader)];
-  answer.outcome = OutcomeNamed(outcome).value_or(CallOutcome::Done);
-  answer.status = static_cast<std::uint16_t>(response.result_int());
-  answer.headers = EndToEndHeaders(response);
-  answer.body.assign(response.body().begin(), response.body().end());
-  co_return answer;
-}
-
 Awaitable<AnswerT>
 CallsDuty::Attempt(const CallJob& aJob, const routing::Candidate& aTarget)
 {
@@ -683,46 +589,9 @@
   m_stopped = true;
   m_callerServer.CloseAll();
   m_targetServer.CloseAll();
+  m_ownKeys.Stop();
   m_links.Stop();
   m_inbound.clear();
 }
 
-std::string
-CallsDuty::MetricsText() const
-{
-  const CallCounters& counters = m_shared.m_calls;
-  std::string text;
-  const auto counter = [&](std::string_view aName, const std::atomic<std::uint64_t>& aValue) {
-    text += fmt::format("sequoiastep_calls_{}_total {}\n", aName, aValue.load());
-  };
-  counter("entered", counters.m_entered);
-  counter("done", counters.m_done);
-  counter("not_run", counters.m_notRun);
-  counter("unknown", counters.m_unknown);
-  counter("failed", counters.m_failed);
-  counter("retries", counters.m_retries);
-  counter("shed", counters.m_shed);
-  counter("dispatched", counters.m_dispatched);
-  counter("version_holds", counters.m_versionHolds);
-  counter("version_holds_expired", counters.m_versionHoldsExpired);
-  counter("cross_region_bytes", counters.m_crossRegionBytes);
-  counter("late_answers", counters.m_lateAnswers);
-  counter("cancelled", counters.m_cancelled);
-  text += fmt::format("sequoiastep_calls_in_progress {}\n", m_active);
-  text += fmt::format("sequoiastep_target_outstanding {}\n", m_runner.Outstanding());
-  text += fmt::format("sequoiastep_remembered_keys {}\n", m_keyed.Claims());
-  text += fmt::format("sequoiastep_call_links {}\n", m_links.Open());
-  for (const double quantile : kQuantiles) {
-    const double value =
-      m_latencyCount < kQuantiles.size()
-        ? 0
-        : accumulators::quantile(m_latency, accumulators::quantile_probability = quantile);
-    text +=
-      fmt::format("sequoiastep_call_seconds{{quantile=\"{}\"}} {:.6f}\n", quantile, value / 1e6);
-  }
-  text += fmt::format("sequoiastep_call_seconds_sum {:.6f}\n", m_latencySumUs / 1e6);
-  text += fmt::format("sequoiastep_call_seconds_count {}\n", m_latencyCount);
-  return text;
-}
-
 } // namespace sequoiastep::node
--- a/modules/node/src/CallsDuty.h
+++ b/modules/node/src/CallsDuty.h
@@ -7,6 +7,7 @@
 #include "Events.h"
 #include "HttpServer.h"
 #include "KeyedCalls.h"
+#include "OwnKeys.h"
 #include "Picker.h"
 #include "Random.h"
 #include "Retry.h"
@@ -16,6 +17,7 @@
 #include "TargetRunner.h"
 #include "Trace.h"
 
+#include <array>
 #include <boost/accumulators/accumulators.hpp>
 #include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
 #include <boost/accumulators/statistics/stats.hpp>
@@ -25,9 +27,15 @@
 #include <optional>
 #include <set>
 #include <string>
+#include <string_view>
 
 namespace sequoiastep::node {
 
+/// Header that bears a request's idempotency key.
+constexpr std::string_view kKeyField = "Idempotency-Key";
+/// Quantiles of the latency that are measured.
+constexpr std::array<double, 4> kLatencyQuantiles{ 0.5, 0.9, 0.99, 0.999 };
+
 /// One call on its way through this node.
 struct CallJob;
 
@@ -47,6 +55,8 @@
   /// Starts to listen.
   /// @return success, or PortInUse.
   Result<void> Listen();
+  /// Sets the log's client, for keys that callers made up.
+  void SetLog(platform::LogClient& aLog);
   /// Takes an accepted connection for calls over.
   void TakeCallSocket(int aDescriptor, const wire::HelloT& aHello);
   /// First part of a stop: callers are asked to go elsewhere with each response.
@@ -72,6 +82,12 @@
   net::Awaitable<net::HttpResponse> RouteKeyed(net::HttpRequest aRequest);
   net::Awaitable<net::HttpResponse> AskIssuer(idempotency::IssuedKey aKey,
                                               net::HttpRequest aRequest);
+  net::Awaitable<net::HttpResponse> RouteOwnKey(std::string aKey, net::HttpRequest aRequest);
+  net::Awaitable<net::HttpResponse> ClaimAndRun(std::string aKey, net::HttpRequest aRequest);
+  net::Awaitable<net::HttpResponse> RunClaimedHere(std::string aKey, net::HttpRequest aRequest);
+  net::Awaitable<CallReply> Forward(std::string aNode, net::HttpRequest aRequest, bool aClaimed);
+  net::HttpResponse ResponseToForward(const CallReply& aReply);
+  net::Awaitable<net::HttpResponse> HandleForwarded(net::HttpRequest aRequest, bool aClaimed);
   net::Awaitable<wire::AnswerT> AnswerForwarded(wire::CallT aCall);
   net::Awaitable<void> HoldWhileStale();
   net::Awaitable<void> HoldForVersion(std::uint64_t aVersion);
@@ -96,6 +112,7 @@
   TargetApi m_targetApi;
   CallLinks m_links;
   KeyedCalls m_keyed;
+  OwnKeys m_ownKeys;
   net::HttpServer m_callerServer;
   net::HttpServer m_targetServer;
   routing::PickState m_picks;
--- /dev/null
+++ b/modules/node/src/CallsDutyMetrics.cpp
@@ -0,0 +1,48 @@
+// What the calls thread measures, as Prometheus text.
+#include "CallsDuty.h"
+
+#include <fmt/core.h>
+
+namespace sequoiastep::node {
+
+namespace accumulators = boost::accumulators;
+
+std::string
+CallsDuty::MetricsText() const
+{
+  const CallCounters& counters = m_shared.m_calls;
+  std::string text;
+  const auto counter = [&](std::string_view aName, const std::atomic<std::uint64_t>& aValue) {
+    text += fmt::format("sequoiastep_calls_{}_total {}\n", aName, aValue.load());
+  };
+  counter("entered", counters.m_entered);
+  counter("done", counters.m_done);
+  counter("not_run", counters.m_notRun);
+  counter("unknown", counters.m_unknown);
+  counter("failed", counters.m_failed);
+  counter("retries", counters.m_retries);
+  counter("shed", counters.m_shed);
+  counter("dispatched", counters.m_dispatched);
+  counter("version_holds", counters.m_versionHolds);
+  counter("version_holds_expired", counters.m_versionHoldsExpired);
+  counter("cross_region_bytes", counters.m_crossRegionBytes);
+  counter("late_answers", counters.m_lateAnswers);
+  counter("cancelled", counters.m_cancelled);
+  text += fmt::format("sequoiastep_calls_in_progress {}\n", m_active);
+  text += fmt::format("sequoiastep_target_outstanding {}\n", m_runner.Outstanding());
+  text += fmt::format("sequoiastep_remembered_keys {}\n", m_keyed.Claims());
+  text += fmt::format("sequoiastep_call_links {}\n", m_links.Open());
+  for (const double quantile : kLatencyQuantiles) {
+    const double value =
+      m_latencyCount < kLatencyQuantiles.size()
+        ? 0
+        : accumulators::quantile(m_latency, accumulators::quantile_probability = quantile);
+    text +=
+      fmt::format("sequoiastep_call_seconds{{quantile=\"{}\"}} {:.6f}\n", quantile, value / 1e6);
+  }
+  text += fmt::format("sequoiastep_call_seconds_sum {:.6f}\n", m_latencySumUs / 1e6);
+  text += fmt::format("sequoiastep_call_seconds_count {}\n", m_latencyCount);
+  return text;
+}
+
+} // namespace sequoiastep::node
--- a/modules/node/src/ControlDuty.cpp
+++ b/modules/node/src/ControlDuty.cpp
@@ -322,7 +322,9 @@
     const bool suspect = member.m_state == membership::MemberState::Suspect;
     if (member.m_state != membership::MemberState::Gone) {
       view->m_nodes[node] = { .m_address = member.m_address,
-                              .m_incarnation = member.m_incarnation };
+                              .m_incarnation = member.m_incarnation,
+                              .m_region = member.m_region,
+                              .m_draining = member.m_state == membership::MemberState::Draining };
     }
     if (member.m_service.empty() || (member.m_state != membership::MemberState::Up && !suspect)) {
       continue;
@@ -345,7 +347,6 @@
   m_stopped = true;
   m_adminServer->CloseAll();
   m_links.Stop();
-  m_log.reset();
 }
 
 const distribution::Controller&
--- a/modules/node/src/ControlDuty.h
+++ b/modules/node/src/ControlDuty.h
@@ -41,6 +41,8 @@
   /// Steps the controller.
   void Feed(distribution::Event aEvent);
   void Stop();
+  /// @return the log's client; call after Start.
+  platform::LogClient& Log() { return *m_log; }
   /// @return the controller, for status answers.
   const distribution::Controller& State() const;
   /// @return bytes of control messages so far.
--- a/modules/node/src/Headers.cpp
+++ b/modules/node/src/Headers.cpp
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <array>
 #include <boost/beast/core/string.hpp>
+#include <boost/beast/http/message.hpp>
 
 namespace sequoiastep::node {
 
@@ -51,4 +52,18 @@
   return headers;
 }
 
+net::HttpResponse
+ResponseFrom(const wire::AnswerT& aAnswer)
+{
+  net::HttpResponse response;
+  response.version(11);
+  response.result(aAnswer.status);
+  for (const auto& header : aAnswer.headers) {
+    response.insert(header->name, header->value);
+  }
+  response.body().assign(aAnswer.body.begin(), aAnswer.body.end());
+  response.prepare_payload();
+  return response;
+}
+
 } // namespace sequoiastep::node
--- a/modules/node/src/Headers.h
+++ b/modules/node/src/Headers.h
@@ -21,4 +21,8 @@
 HeaderList
 EndToEndHeaders(const net::http::fields& aFields);
 
+/// @return the response that aAnswer carries.
+net::HttpResponse
+ResponseFrom(const wire::AnswerT& aAnswer);
+
 } // namespace sequoiastep::node
--- a/modules/node/src/KeyedCalls.cpp
+++ b/modules/node/src/KeyedCalls.cpp
@@ -75,6 +75,19 @@
   return answer;
 }
 
+void
+Settle(idempotency::KeyTable& aTable, std::uint64_t aSerial, const HttpResponse& aResponse)
+{
+  const std::string_view outcome = aResponse.base()[std::string(kOutcomeField)];
+  if (outcome.empty()) {
+    idempotency::FinishClaim(aTable, aSerial, Remember(aResponse));
+  } else if (outcome == NameOf(CallOutcome::NotRun)) {
+    idempotency::ReleaseClaim(aTable, aSerial);
+  } else {
+    idempotency::LoseClaim(aTable, aSerial);
+  }
+}
+
 HttpResponse
 Restore(const idempotency::RememberedAnswer& aAnswer)
 {
@@ -116,6 +129,10 @@
   m_table.m_node = std::move(aNode);
   m_table.m_incarnation = aIncarnation;
   m_table.m_secret = EntropySeed();
+  for (idempotency::KeyTable& table : m_claimed) {
+    table.m_options = { .m_maxClaims = aOptions.m_maxClaims / m_claimed.size() + 1,
+                        .m_maxAnswerBytes = aOptions.m_maxAnswerBytes / m_claimed.size() + 1 };
+  }
 }
 
 HttpResponse
@@ -148,35 +165,47 @@
 std::size_t
 KeyedCalls::Claims() const
 {
-  return m_table.m_claims.size();
+  std::size_t claims = m_table.m_claims.size();
+  for (const idempotency::KeyTable& table : m_claimed) {
+    claims += table.m_claims.size();
+  }
+  return claims;
 }
 
-void
-KeyedCalls::Settle(std::uint64_t aSerial, const HttpResponse& aResponse)
+Awaitable<HttpResponse>
+KeyedCalls::Handle(IssuedKey aKey, HttpRequest aRequest)
 {
-  const std::string_view outcome = aResponse.base()[std::string(kOutcomeField)];
-  if (outcome.empty()) {
-    idempotency::FinishClaim(m_table, aSerial, Remember(aResponse));
-  } else if (outcome == NameOf(CallOutcome::NotRun)) {
-    idempotency::ReleaseClaim(m_table, aSerial);
-  } else {
-    idempotency::LoseClaim(m_table, aSerial);
-  }
+  idempotency::ClaimAnswer claim = idempotency::ClaimKey(m_table, aKey, DigestOf(aRequest));
+  HttpResponse response =
+    co_await RunOnce(m_table, aKey.m_serial, std::move(claim), std::move(aRequest));
+  co_return response;
 }
 
 Awaitable<HttpResponse>
-KeyedCalls::Handle(IssuedKey aKey, HttpRequest aRequest)
+KeyedCalls::HandleClaimed(std::uint32_t aStream, std::uint64_t aOffset, HttpRequest aRequest)
+{
+  idempotency::KeyTable& table = m_claimed[aStream];
+  const std::uint64_t serial = aOffset + 1; // Serial 0 counts as forgotten.
+  idempotency::ClaimAnswer claim = idempotency::ClaimSerial(table, serial, DigestOf(aRequest));
+  HttpResponse response = co_await RunOnce(table, serial, std::move(claim), std::move(aRequest));
+  co_return response;
+}
+
+Awaitable<HttpResponse>
+KeyedCalls::RunOnce(idempotency::KeyTable& aTable,
+                    std::uint64_t aSerial,
+                    idempotency::ClaimAnswer aClaim,
+                    HttpRequest aRequest)
 {
-  const idempotency::ClaimAnswer claim = idempotency::ClaimKey(m_table, aKey, DigestOf(aRequest));
-  if (claim.m_decision == ClaimDecision::Repeat) {
-    co_return Restore(*claim.m_answer);
+  if (aClaim.m_decision == ClaimDecision::Repeat) {
+    co_return Restore(*aClaim.m_answer);
   }
-  if (claim.m_decision != ClaimDecision::Start) {
-    co_return Refused(claim.m_decision);
+  if (aClaim.m_decision != ClaimDecision::Start) {
+    co_return Refused(aClaim.m_decision);
   }
   auto started = std::make_shared<Started>(m_context);
   net::asio::co_spawn(
-    m_context, RunClaimed(aKey.m_serial, std::move(aRequest), started), net::asio::detached);
+    m_context, RunClaimed(aTable, aSerial, std::move(aRequest), started), net::asio::detached);
   co_await started->m_timer.async_wait(net::kAsTuple);
   if (!started->m_response) {
     co_return Refused(ClaimDecision::Unknown);
@@ -185,12 +214,13 @@
 }
 
 Awaitable<void>
-KeyedCalls::RunClaimed(std::uint64_t aSerial,
+KeyedCalls::RunClaimed(idempotency::KeyTable& aTable,
+                       std::uint64_t aSerial,
                        HttpRequest aRequest,
                        std::shared_ptr<Started> aStarted)
 {
   HttpResponse response = co_await m_runCall(std::move(aRequest));
-  Settle(aSerial, response);
+  Settle(aTable, aSerial, response);
   aStarted->m_response = std::move(response);
   aStarted->m_timer.cancel();
 }
--- a/modules/node/src/KeyedCalls.h
+++ b/modules/node/src/KeyedCalls.h
@@ -3,8 +3,10 @@
 #pragma once
 
 #include "AsioTypes.h"
+#include "ClaimIndex.h"
 #include "IssuedKeys.h"
 
+#include <array>
 #include <functional>
 #include <memory>
 #include <string>
@@ -34,19 +36,31 @@
   /// Runs or answers a request whose key this node issued. What was started runs on even if its
   /// caller leaves, so that a repeat gets the answer.
   net::Awaitable<net::HttpResponse> Handle(idempotency::IssuedKey aKey, net::HttpRequest aRequest);
+  /// Runs or answers a request whose key the log gave to this node.
+  /// @param aStream claim stream of the key.
+  /// @param aOffset offset of the claim that won.
+  net::Awaitable<net::HttpResponse> HandleClaimed(std::uint32_t aStream,
+                                                  std::uint64_t aOffset,
+                                                  net::HttpRequest aRequest);
   /// @return keys that are claimed and remembered.
   std::size_t Claims() const;
 
 private:
   struct Started;
 
-  net::Awaitable<void> RunClaimed(std::uint64_t aSerial,
+  net::Awaitable<net::HttpResponse> RunOnce(idempotency::KeyTable& aTable,
+                                            std::uint64_t aSerial,
+                                            idempotency::ClaimAnswer aClaim,
+                                            net::HttpRequest aRequest);
+  net::Awaitable<void> RunClaimed(idempotency::KeyTable& aTable,
+                                  std::uint64_t aSerial,
                                   net::HttpRequest aRequest,
                                   std::shared_ptr<Started> aStarted);
-  void Settle(std::uint64_t aSerial, const net::HttpResponse& aResponse);
 
   net::asio::io_context& m_context;
   idempotency::KeyTable m_table;
+  /// Of keys that callers made up, by claim stream; serials are offsets there.
+  std::array<idempotency::KeyTable, idempotency::kClaimStreams> m_claimed;
   RunCall m_runCall;
 };
 
--- a/modules/node/src/Node.cpp
+++ b/modules/node/src/Node.cpp
@@ -64,6 +64,7 @@
     m_control.Start({ .m_feed = {},
                       .m_callMetrics = [this] { return CallMetrics(); },
                       .m_drain = [this] { BeginStop(); } });
+    m_calls->SetLog(m_control.Log());
     m_signals.async_wait([this](const net::error_code& aError, int) {
       if (!aError) {
         BeginStop();
--- a/modules/node/src/Settings.cpp
+++ b/modules/node/src/Settings.cpp
@@ -37,7 +37,7 @@
 
 constexpr std::uint64_t kDayMs = 86'400'000;
 
-constexpr std::array<NumberField<Limits>, 7> kLimitFields{ {
+constexpr std::array<NumberField<Limits>, 8> kLimitFields{ {
   { "max_body_bytes", &Limits::m_maxBodyBytes, 1024, 12U << 20 },
   { "max_header_bytes", &Limits::m_maxHeaderBytes, 1024, 1U << 20 },
   { "max_connections", &Limits::m_maxConnections, 1, 60'000 },
@@ -45,6 +45,7 @@
   { "joins_per_second", &Limits::m_joinsPerSecond, 1, 1000 },
   { "remembered_keys", &Limits::m_rememberedKeys, 1, 1'000'000 },
   { "remembered_answer_bytes", &Limits::m_rememberedAnswerBytes, 1024, 1U << 30 },
+  { "own_key_retention_ms", &Limits::m_ownKeyRetentionMs, 1000, 30 * kDayMs },
 } };
 
 constexpr std::array<NumberField<Timings>, 10> kTimingFields{ {
--- a/modules/node/src/Shared.h
+++ b/modules/node/src/Shared.h
@@ -20,6 +20,8 @@
 {
   std::string m_address;
   std::uint64_t m_incarnation = 0;
+  std::string m_region;
+  bool m_draining = false;
 };
 
 /// Targets by service, as calls pick among them, and all nodes.
--- a/modules/wire/include/Messages_generated.h
+++ b/modules/wire/include/Messages_generated.h
@@ -2427,6 +2427,7 @@
   std::string key{};
   bool forwarded = false;
   int64_t sent_ms = 0;
+  bool claimed = false;
   CallT() = default;
   CallT(const CallT &o);
   CallT(CallT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2452,7 +2453,8 @@
     VT_SAMPLED = 26,
     VT_KEY = 28,
     VT_FORWARDED = 30,
-    VT_SENT_MS = 32
+    VT_SENT_MS = 32,
+    VT_CLAIMED = 34
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -2499,6 +2501,10 @@
   int64_t sent_ms() const {
     return GetField<int64_t>(VT_SENT_MS, 0);
   }
+  /// The key was claimed in the log for the receiver.
+  bool claimed() const {
+    return GetField<uint8_t>(VT_CLAIMED, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -2523,6 +2529,7 @@
            verifier.VerifyString(key()) &&
            VerifyField<uint8_t>(verifier, VT_FORWARDED, 1) &&
            VerifyField<int64_t>(verifier, VT_SENT_MS, 8) &&
+           VerifyField<uint8_t>(verifier, VT_CLAIMED, 1) &&
            verifier.EndTable();
   }
   CallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2579,6 +2586,9 @@
   void add_sent_ms(int64_t sent_ms) {
     fbb_.AddElement<int64_t>(Call::VT_SENT_MS, sent_ms, 0);
   }
+  void add_claimed(bool claimed) {
+    fbb_.AddElement<uint8_t>(Call::VT_CLAIMED, static_cast<uint8_t>(claimed), 0);
+  }
   explicit CallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2606,7 +2616,8 @@
     bool sampled = false,
     flatbuffers::Offset<flatbuffers::String> key = 0,
     bool forwarded = false,
-    int64_t sent_ms = 0) {
+    int64_t sent_ms = 0,
+    bool claimed = false) {
   CallBuilder builder_(_fbb);
   builder_.add_sent_ms(sent_ms);
   builder_.add_parent_span(parent_span);
@@ -2621,6 +2632,7 @@
   builder_.add_target(target);
   builder_.add_method(method);
   builder_.add_service(service);
+  builder_.add_claimed(claimed);
   builder_.add_forwarded(forwarded);
   builder_.add_sampled(sampled);
   return builder_.Finish();
@@ -2647,7 +2659,8 @@
     bool sampled = false,
     const char *key = nullptr,
     bool forwarded = false,
-    int64_t sent_ms = 0) {
+    int64_t sent_ms = 0,
+    bool claimed = false) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto method__ = method ? _fbb.CreateString(method) : 0;
   auto target__ = target ? _fbb.CreateString(target) : 0;
@@ -2670,7 +2683,8 @@
       sampled,
       key__,
       forwarded,
-      sent_ms);
+      sent_ms,
+      claimed);
 }
 
 flatbuffers::Offset<Call> CreateCall(flatbuffers::FlatBufferBuilder &_fbb, const CallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3873,7 +3887,8 @@
         sampled(o.sampled),
         key(o.key),
         forwarded(o.forwarded),
-        sent_ms(o.sent_ms) {
+        sent_ms(o.sent_ms),
+        claimed(o.claimed) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new sequoiastep::wire::HeaderT(*headers_) : nullptr); }
 }
@@ -3894,6 +3909,7 @@
   std::swap(key, o.key);
   std::swap(forwarded, o.forwarded);
   std::swap(sent_ms, o.sent_ms);
+  std::swap(claimed, o.claimed);
   return *this;
 }
 
@@ -3921,6 +3937,7 @@
   { auto _e = key(); if (_e) _o->key = _e->str(); }
   { auto _e = forwarded(); _o->forwarded = _e; }
   { auto _e = sent_ms(); _o->sent_ms = _e; }
+  { auto _e = claimed(); _o->claimed = _e; }
 }
 
 inline flatbuffers::Offset<Call> Call::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3946,6 +3963,7 @@
   auto _key = _o->key.empty() ? 0 : _fbb.CreateString(_o->key);
   auto _forwarded = _o->forwarded;
   auto _sent_ms = _o->sent_ms;
+  auto _claimed = _o->claimed;
   return sequoiastep::wire::CreateCall(
       _fbb,
       _id,
@@ -3962,7 +3980,8 @@
       _sampled,
       _key,
       _forwarded,
-      _sent_ms);
+      _sent_ms,
+      _claimed);
 }
 
 inline AnswerT::AnswerT(const AnswerT &o)
--- a/tests/whole/small-mesh.sh
+++ b/tests/whole/small-mesh.sh
@@ -3,6 +3,7 @@
 
 fail() {
   echo "failed: $*"
+  grep -hv "^time_ms=" "$MESH_DIR"/*.log | tail -n 5
   tail -n 5 "$MESH_DIR"/*.log
   exit 1
 }
