--- a/modules/distribution/bench/DistributionBench.cpp
+++ b/modules/distribution/bench/DistributionBench.cpp
@@ -17,6 +17,8 @@
 
 constexpr Milliseconds kSecond = 1000;
 constexpr Milliseconds kSteadyMs = 10'000;
+// Nodes are started in groups, one each second.
+constexpr std::size_t kStartedAtOnce = 50;
 // Head of a log read's HTTP answer, and of the request for it.
 constexpr std::uint64_t kPollHeadBytes = 300;
 
@@ -32,10 +34,14 @@
 
 struct Bench
 {
-  explicit Bench(std::size_t aNodes)
+  Bench(std::size_t aNodes, const TopologyOptions& aTopology)
     : m_mesh(1)
   {
+    m_mesh.Defaults().m_topology = aTopology;
     for (std::size_t i = 0; i < aNodes; ++i) {
+      if (i % kStartedAtOnce == 0) {
+        m_mesh.Run(kSecond);
+      }
       const std::string region = i % 2 == 0 ? "east" : "west";
       m_mesh.Add("node-" + std::to_string(i), region, region + "-" + std::to_string(i / 2 % 3));
     }
@@ -202,12 +208,12 @@
 }
 
 void
-Run(std::size_t aNodes, std::size_t aKilobytes)
+Run(std::size_t aNodes, std::size_t aKilobytes, const TopologyOptions& aTopology)
 {
-  Bench bench(aNodes);
+  Bench bench(aNodes, aTopology);
   const bool known =
     bench.m_mesh.RunUntil([&] { return bench.m_mesh.AllKnowEachOther(); }, 120 * kSecond);
-  fmt::print("nodes={} cold start: known={} after_ms={} log_requests={}\n",
+  fmt::print("nodes={} start in groups of 50: known={} after_ms={} log_requests={}\n",
              aNodes,
              known,
              bench.m_mesh.Now().m_ms - 1'000'000,
@@ -248,6 +254,11 @@
   context.setAsDefaultForAssertsOutOfTestCases();
   const std::size_t nodes = aCount > 1 ? std::stoul(aArguments[1]) : 50;
   const std::size_t kilobytes = aCount > 2 ? std::stoul(aArguments[2]) : 2;
-  Run(nodes, kilobytes);
+  TopologyOptions topology;
+  if (aCount > 4) {
+    topology.m_fanOut = std::stoul(aArguments[3]);
+    topology.m_chords = std::stoul(aArguments[4]);
+  }
+  Run(nodes, kilobytes, topology);
   return 0;
 }
--- a/modules/distribution/src/ControllerJoin.cpp
+++ b/modules/distribution/src/ControllerJoin.cpp
@@ -145,7 +145,10 @@
     }
   }
   // A starter turns to its own region first: what it is told by another one crosses a paid link.
-  const bool homeFailed = aTurn.m_now - controller.m_startedAt > kJoinAnswerMs / 2;
+  const bool homeLinked = std::any_of(controller.m_links.begin(),
+                                      controller.m_links.end(),
+                                      [](const auto& aItem) { return !aItem.second.m_foreign; });
+  const bool homeFailed = !homeLinked && aTurn.m_now - controller.m_startedAt > kJoinAnswerMs / 2;
   for (const DirectoryEntry& entry : aRead.m_entries) {
     if (entry.m_region != controller.m_options.m_region && !homeFailed) {
       continue;
--- a/modules/distribution/src/ControllerLinks.cpp
+++ b/modules/distribution/src/ControllerLinks.cpp
@@ -230,8 +230,9 @@
   }
   const Member* peer = FindMember(controller, aOpened.m_node);
   const bool stranger = peer == nullptr || !membership::IsLive(peer->m_state);
-  if (stranger && controller.m_phase == JoinPhase::Joined) {
-    SendAllMembers(aTurn, aOpened.m_node); // Two lists that grew apart are merged at once.
+  if (stranger && aOpened.m_outbound && controller.m_phase == JoinPhase::Joined) {
+    // Two lists that grew apart are merged. A node that dials in may only be starting: it asks.
+    SendAllMembers(aTurn, aOpened.m_node);
     return;
   }
   wire::MemberUpdateT update;
