--- a/modules/node/src/CallsDuty.cpp
+++ b/modules/node/src/CallsDuty.cpp
@@ -1,13 +1,11 @@
 #include "CallsDuty.h"
 
 #include "Address.h"
+#include "CallsDutyPriv.h"
 #include "Headers.h"
 #include "Log.h"
 #include "Problem.h"
-#include "TransitClock.h"
 
-#include <boost/asio/bind_cancellation_slot.hpp>
-#include <boost/asio/cancellation_signal.hpp>
 #include <boost/beast/http/field.hpp>
 #include <charconv>
 #include <chrono>
@@ -51,44 +49,16 @@
   return number;
 }
 
-// Counts one call for as long as it is in progress.
-class InProgress
-{
-public:
-  explicit InProgress(std::uint32_t& aCount)
-    : m_count(aCount)
-  {
-    ++m_count;
-  }
-  ~InProgress() { --m_count; }
-  InProgress(const InProgress&) = delete;
-  InProgress& operator=(const InProgress&) = delete;
-
-private:
-  std::uint32_t& m_count;
-};
-
 } // namespace
 
 struct CallJob
 {
   CallT m_call;
-  std::string m_cluster;
   bool m_crossRegion = true;
   config::Repeat m_repeat = config::Repeat::Never;
   Instant m_deadline;
 };
 
-// A link by which another node sends calls here.
-struct CallsDuty::Inbound
-{
-  std::string m_node;
-  bool m_foreign = false;
-  std::unique_ptr<net::FrameConnection> m_connection;
-  routing::TransitClock m_transit;
-  std::map<std::uint64_t, std::shared_ptr<asio::cancellation_signal>> m_calls;
-};
-
 CallsDuty::CallsDuty(asio::io_context& aContext,
                      const Settings& aSettings,
                      Identity aIdentity,
@@ -262,6 +232,34 @@
   co_return response;
 }
 
+CallJob
+CallsDuty::MakeJob(const HttpRequest& aRequest,
+                   const config::Snapshot& aSnapshot,
+                   const config::Route& aRoute)
+{
+  const config::Cluster& cluster = aSnapshot.m_effective->m_clusters.find(aRoute.m_cluster)->second;
+  const std::uint64_t asked =
+    NumberHeader(aRequest, "Sequoiastep-Timeout-Ms").value_or(aRoute.m_timeoutMs);
+  const std::uint64_t timeoutMs = std::min<std::uint64_t>(asked, aRoute.m_timeoutMs);
+  const TraceContext trace = ParseTraceparent(aRequest["traceparent"])
+                               .value_or(StartTrace(m_random, m_settings.m_traceSample));
+  CallJob job;
+  job.m_crossRegion = cluster.m_crossRegion;
+  job.m_repeat = aRoute.m_repeat;
+  job.m_deadline = Clock::Now() + static_cast<Milliseconds>(timeoutMs);
+  job.m_call.service = cluster.m_service;
+  job.m_call.method = aRequest.method_string();
+  job.m_call.target = aRequest.target();
+  job.m_call.headers = EndToEndHeaders(aRequest);
+  job.m_call.body.assign(aRequest.body().begin(), aRequest.body().end());
+  job.m_call.version = aSnapshot.m_version;
+  job.m_call.trace_high = trace.m_traceHigh;
+  job.m_call.trace_low = trace.m_traceLow;
+  job.m_call.parent_span = trace.m_parent;
+  job.m_call.sampled = trace.m_sampled;
+  return job;
+}
+
 Awaitable<HttpResponse>
 CallsDuty::Route(HttpRequest aRequest)
 {
@@ -287,27 +285,7 @@
       CallOutcome::NotRun,
       fmt::format("version {} has no route for this path and method", snapshot->m_version));
   }
-  const config::Cluster& cluster = effective.m_clusters.find(route->m_cluster)->second;
-  const std::uint64_t asked =
-    NumberHeader(aRequest, "Sequoiastep-Timeout-Ms").value_or(route->m_timeoutMs);
-  const std::uint64_t timeoutMs = std::min<std::uint64_t>(asked, route->m_timeoutMs);
-  const TraceContext trace = ParseTraceparent(aRequest["traceparent"])
-                               .value_or(StartTrace(m_random, m_settings.m_traceSample));
-  CallJob job;
-  job.m_cluster = cluster.m_name;
-  job.m_crossRegion = cluster.m_crossRegion;
-  job.m_repeat = route->m_repeat;
-  job.m_deadline = Clock::Now() + static_cast<Milliseconds>(timeoutMs);
-  job.m_call.service = cluster.m_service;
-  job.m_call.method = aRequest.method_string();
-  job.m_call.target = aRequest.target();
-  job.m_call.headers = EndToEndHeaders(aRequest);
-  job.m_call.body.assign(aRequest.body().begin(), aRequest.body().end());
-  job.m_call.version = snapshot->m_version;
-  job.m_call.trace_high = trace.m_traceHigh;
-  job.m_call.trace_low = trace.m_traceLow;
-  job.m_call.parent_span = trace.m_parent;
-  job.m_call.sampled = trace.m_sampled;
+  CallJob job = MakeJob(aRequest, *snapshot, *route);
   HttpResponse response = co_await RunJob(std::move(job));
   response.set("Sequoiastep-Version", std::to_string(snapshot->m_version));
   co_return response;
@@ -365,15 +343,61 @@
   return aAnswer.outcome == CallOutcome::NotRun ? AttemptOutcome::NotRun : AttemptOutcome::Unknown;
 }
 
+std::optional<routing::Candidate>
+CallsDuty::PickTarget(const CallJob& aJob, const std::set<std::string, std::less<>>& aTried)
+{
+  const auto view = m_shared.m_view.load();
+  const auto service = view->m_services.find(aJob.m_call.service);
+  if (service == view->m_services.end()) {
+    return std::nullopt;
+  }
+  const auto picked = routing::Pick(service->second,
+                                    m_picks,
+                                    { .m_region = m_identity.m_region,
+                                      .m_failureDomain = m_identity.m_failureDomain,
+                                      .m_crossRegion = aJob.m_crossRegion,
+                                      .m_tried = &aTried },
+                                    Clock::Now(),
+                                    m_random);
+  return picked ? std::optional(service->second[*picked]) : std::nullopt;
+}
+
+// One attempt, with what it shows of the target noted however it ends.
+Awaitable<AttemptOutcome>
+CallsDuty::TryTarget(const CallJob& aJob, const routing::Candidate& aTarget, AnswerT& aAnswer)
+{
+  struct Abandon
+  {
+    routing::PickState& m_picks;
+    const std::string& m_node;
+    bool m_judged = false;
+    ~Abandon()
+    {
+      if (!m_judged) {
+        routing::NoteAbandoned(m_picks, m_node);
+      }
+    }
+  };
+  const std::int64_t startUs = Clock::NowMicroseconds();
+  routing::NoteDispatch(m_picks, aTarget.m_node);
+  Abandon abandon{ .m_picks = m_picks, .m_node = aTarget.m_node };
+  aAnswer = co_await Attempt(aJob, aTarget);
+  abandon.m_judged = true;
+  co_return Judge(aAnswer, aTarget.m_node, Clock::NowMicroseconds() - startUs);
+}
+
+void
+CallsDuty::NoteLatency(std::int64_t aElapsedUs)
+{
+  m_latency(static_cast<double>(aElapsedUs));
+  ++m_latencyCount;
+  m_latencySumUs += static_cast<double>(aElapsedUs);
+}
+
 Awaitable<HttpResponse>
 CallsDuty::RunJob(CallJob aJob)
 {
-  const Span span({ .m_traceHigh = aJob.m_call.trace_high,
-                    .m_traceLow = aJob.m_call.trace_low,
-                    .m_parent = aJob.m_call.parent_span,
-                    .m_sampled = aJob.m_call.sampled },
-                  "route",
-                  m_random);
+  const Span span(TraceOf(aJob.m_call), "route", m_random);
   aJob.m_call.parent_span = span.Context().m_parent;
   routing::RetryBudget& budget = m_budgets[aJob.m_call.service];
   routing::EarnRetry(budget);
@@ -382,58 +406,22 @@
   answer.outcome = CallOutcome::NotRun;
   answer.reason = "the service has no target now";
   std::string lastNode;
-  for (std::uint32_t attempts = 1;; ++attempts) {
-    const auto view = m_shared.m_view.load();
-    const auto service = view->m_services.find(aJob.m_call.service);
-    if (service == view->m_services.end()) {
+  routing::RetryQuestion question{ .m_repeat = aJob.m_repeat, .m_attempts = 0 };
+  do {
+    const auto target = PickTarget(aJob, tried);
+    if (!target) {
       break;
     }
-    const auto picked = routing::Pick(service->second,
-                                      m_picks,
-                                      { .m_region = m_identity.m_region,
-                                        .m_failureDomain = m_identity.m_failureDomain,
-                                        .m_crossRegion = aJob.m_crossRegion,
-                                        .m_tried = &tried },
-                                      Clock::Now(),
-                                      m_random);
-    if (!picked) {
-      break;
+    if (question.m_attempts > 0) {
+      m_shared.m_calls.m_retries.fetch_add(1, std::memory_order_relaxed);
     }
-    const routing::Candidate& target = service->second[*picked];
-    lastNode = target.m_node;
-    tried.insert(target.m_node);
-    const std::int64_t startUs = Clock::NowMicroseconds();
-    routing::NoteDispatch(m_picks, target.m_node);
-    struct Abandon
-    {
-      routing::PickState& m_picks;
-      const std::string& m_node;
-      bool m_judged = false;
-      ~Abandon()
-      {
-        if (!m_judged) {
-          routing::NoteAbandoned(m_picks, m_node);
-        }
-      }
-    };
-    Abandon abandon{ .m_picks = m_picks, .m_node = lastNode };
-    answer = co_await Attempt(aJob, target);
-    abandon.m_judged = true;
-    const AttemptOutcome outcome = Judge(answer, target.m_node, Clock::NowMicroseconds() - startUs);
-    const bool again = routing::MayRetry(budget,
-                                         { .m_outcome = outcome,
-                                           .m_repeat = aJob.m_repeat,
-                                           .m_attempts = attempts,
-                                           .m_leftMs = aJob.m_deadline - Clock::Now() });
-    if (!again) {
-      break;
-    }
-    m_shared.m_calls.m_retries.fetch_add(1, std::memory_order_relaxed);
-  }
-  const std::int64_t elapsed = span.ElapsedUs();
-  m_latency(static_cast<double>(elapsed));
-  ++m_latencyCount;
-  m_latencySumUs += static_cast<double>(elapsed);
+    lastNode = target->m_node;
+    tried.insert(lastNode);
+    ++question.m_attempts;
+    question.m_outcome = co_await TryTarget(aJob, *target, answer);
+    question.m_leftMs = aJob.m_deadline - Clock::Now();
+  } while (routing::MayRetry(budget, question));
+  NoteLatency(span.ElapsedUs());
   span.End(NameOf(answer.outcome), lastNode);
   co_return Respond(answer);
 }
@@ -473,97 +461,6 @@
   return ResponseFrom(aAnswer);
 }
 
-void
-CallsDuty::TakeCallSocket(int aDescriptor, const wire::HelloT& aHello)
-{
-  net::error_code error;
-  net::tcp::socket socket(m_context);
-  socket.assign(net::tcp::v4(), aDescriptor, error);
-  if (error) {
-    return;
-  }
-  auto inbound = std::make_shared<Inbound>();
-  inbound->m_node = aHello.node;
-  inbound->m_foreign = aHello.region != m_identity.m_region;
-  inbound->m_connection = std::make_unique<net::FrameConnection>(std::move(socket));
-  routing::NoteTransit(inbound->m_transit, aHello.sent_ms, Clock::Now());
-  m_inbound.insert(inbound);
-  inbound->m_connection->Send(wire::EncodeFrame(MakeHello(m_identity, wire::Purpose::Calls)));
-  inbound->m_connection->Start(
-    [this, weak = std::weak_ptr<Inbound>(inbound)](wire::EnvelopeT aMessage) {
-      if (const InboundPtr strong = weak.lock()) {
-        Receive(strong, std::move(aMessage));
-      }
-    },
-    [this, weak = std::weak_ptr<Inbound>(inbound)](const std::string&) {
-      if (const InboundPtr strong = weak.lock()) {
-        // Nobody can get the answers any more: what still waits need not run.
-        for (const auto& [id, signal] : strong->m_calls) {
-          signal->emit(asio::cancellation_type::terminal);
-        }
-        m_inbound.erase(strong);
-      }
-    });
-}
-
-void
-CallsDuty::Receive(const InboundPtr& aInbound, wire::EnvelopeT aMessage)
-{
-  if (aMessage.body.type == wire::Body::Cancel) {
-    const auto found = aInbound->m_calls.find(aMessage.body.AsCancel()->id);
-    if (found != aInbound->m_calls.end()) {
-      m_shared.m_calls.m_cancelled.fetch_add(1, std::memory_order_relaxed);
-      const auto signal = found->second;
-      signal->emit(asio::cancellation_type::terminal);
-    }
-    return;
-  }
-  if (aMessage.body.type != wire::Body::Call) {
-    return;
-  }
-  CallT call = std::move(*aMessage.body.AsCall());
-  // What the call waited in buffers, as while this process was paused, is time of its deadline.
-  const Milliseconds age = routing::NoteTransit(aInbound->m_transit, call.sent_ms, Clock::Now());
-  call.timeout_ms -= static_cast<std::uint32_t>(std::min<Milliseconds>(age, call.timeout_ms));
-  auto signal = std::make_shared<asio::cancellation_signal>();
-  aInbound->m_calls[call.id] = signal;
-  asio::co_spawn(
-    m_context,
-    Serve(aInbound, std::move(call)),
-    asio::bind_cancellation_slot(signal->slot(), [signal](const std::exception_ptr&) {}));
-}
-
-Awaitable<void>
-CallsDuty::Serve(InboundPtr aInbound, CallT aCall)
-{
-  const InProgress progress(m_serving);
-  const std::uint64_t id = aCall.id;
-  struct Forget
-  {
-    Inbound& m_inbound;
-    std::uint64_t m_id;
-    ~Forget() { m_inbound.m_calls.erase(m_id); }
-  };
-  const Forget forget{ .m_inbound = *aInbound, .m_id = id };
-  const Span span({ .m_traceHigh = aCall.trace_high,
-                    .m_traceLow = aCall.trace_low,
-                    .m_parent = aCall.parent_span,
-                    .m_sampled = aCall.sampled },
-                  "serve",
-                  m_random);
-  aCall.parent_span = span.Context().m_parent;
-  AnswerT answer;
-  if (aCall.forwarded) {
-    answer = co_await AnswerForwarded(std::move(aCall));
-  } else {
-    co_await HoldForVersion(aCall.version);
-    answer = co_await m_runner.Run(std::move(aCall), aInbound->m_node);
-  }
-  answer.id = id;
-  span.End(NameOf(answer.outcome), "target");
-  aInbound->m_connection->Send(wire::EncodeFrame(wire::MakeEnvelope(std::move(answer))));
-}
-
 void
 CallsDuty::BeginDrain()
 {
--- a/modules/node/src/CallsDuty.h
+++ b/modules/node/src/CallsDuty.h
@@ -92,7 +92,16 @@
   net::Awaitable<void> HoldWhileStale();
   net::Awaitable<void> HoldForVersion(std::uint64_t aVersion);
   net::Awaitable<wire::AnswerT> Attempt(const CallJob& aJob, const routing::Candidate& aTarget);
+  CallJob MakeJob(const net::HttpRequest& aRequest,
+                  const config::Snapshot& aSnapshot,
+                  const config::Route& aRoute);
+  std::optional<routing::Candidate> PickTarget(const CallJob& aJob,
+                                               const std::set<std::string, std::less<>>& aTried);
+  net::Awaitable<routing::AttemptOutcome> TryTarget(const CallJob& aJob,
+                                                    const routing::Candidate& aTarget,
+                                                    wire::AnswerT& aAnswer);
   net::Awaitable<net::HttpResponse> RunJob(CallJob aJob);
+  void NoteLatency(std::int64_t aElapsedUs);
   net::Awaitable<void> Serve(InboundPtr aInbound, wire::CallT aCall);
   void Receive(const InboundPtr& aInbound, wire::EnvelopeT aMessage);
   routing::AttemptOutcome Judge(const wire::AnswerT& aAnswer,
