Keep starters and returning domains off the links between regions

Cause: while a domain of 33 of 200 nodes came back, 5.7 MB crossed between the regions. By type and pair of nodes: 115 links from starters to nodes of the other region, each carrying lists and digests. The sample of addresses that a head writes to the directory held nodes of all regions under its own region's name. Now it holds its own region's only; a joined node dials another region only while it knows nobody there. Ruled out: roles that move (two links, as wanted) and witnesses of a doubting node (none were dialled).

--- a/modules/distribution/src/ControllerJoin.cpp
+++ b/modules/distribution/src/ControllerJoin.cpp
@@ -54,6 +54,16 @@
   }
 }
 
+// A starter turns to its own region first: what it is told by another one crosses a paid link.
+bool
+HomeFailed(const Controller& aController, Instant aNow)
+{
+  const bool homeLinked = std::any_of(aController.m_links.begin(),
+                                      aController.m_links.end(),
+                                      [](const auto& aItem) { return !aItem.second.m_foreign; });
+  return !homeLinked && aNow - aController.m_startedAt > kJoinAnswerMs / 2;
+}
+
 void
 TurnToLog(Turn& aTurn)
 {
@@ -139,18 +149,19 @@
                                             kDirectoryAgainMostMs);
   controller.m_directoryRetryAt = aTurn.m_now + controller.m_directoryDelayMs;
   std::set<std::string, std::less<>> known;
+  std::set<std::string, std::less<>> knownRegions;
   for (const auto& [node, record] : controller.m_table.m_members) {
-    if (controller.m_phase == JoinPhase::Joined && membership::IsLive(record.m_member.m_state)) {
-      known.insert(record.m_member.m_address);
+    const Member& member = record.m_member;
+    if (controller.m_phase == JoinPhase::Joined && membership::IsLive(member.m_state)) {
+      known.insert(member.m_address);
+      knownRegions.insert(member.m_region);
     }
   }
-  // A starter turns to its own region first: what it is told by another one crosses a paid link.
-  const bool homeLinked = std::any_of(controller.m_links.begin(),
-                                      controller.m_links.end(),
-                                      [](const auto& aItem) { return !aItem.second.m_foreign; });
-  const bool homeFailed = !homeLinked && aTurn.m_now - controller.m_startedAt > kJoinAnswerMs / 2;
+  const bool homeFailed = HomeFailed(controller, aTurn.m_now);
   for (const DirectoryEntry& entry : aRead.m_entries) {
-    if (entry.m_region != controller.m_options.m_region && !homeFailed) {
+    const bool foreign = entry.m_region != controller.m_options.m_region;
+    const bool joined = controller.m_phase == JoinPhase::Joined;
+    if (foreign && (joined ? knownRegions.contains(entry.m_region) : !homeFailed)) {
       continue;
     }
     for (const std::string& address : entry.m_addresses) {
--- a/modules/distribution/src/ControllerLog.cpp
+++ b/modules/distribution/src/ControllerLog.cpp
@@ -97,7 +97,8 @@
 {
   std::vector<std::string> addresses;
   for (const auto& [node, record] : aController.m_table.m_members) {
-    if (membership::IsLive(record.m_member.m_state)) {
+    const membership::Member& member = record.m_member;
+    if (membership::IsLive(member.m_state) && member.m_region == aController.m_options.m_region) {
       addresses.push_back(record.m_member.m_address);
     }
   }
--- a/modules/distribution/tests/ControllerTest.cpp
+++ b/modules/distribution/tests/ControllerTest.cpp
@@ -220,6 +220,27 @@
   CHECK(mesh.RunUntil([&] { return mesh.AllKnowEachOther() && mesh.AllHold(2); }, 20'000));
 }
 
+TEST_CASE("nodes that return ask their own region, not one behind a paid link")
+{
+  RunningMesh running(48);
+  FakeMesh& mesh = running.m_mesh;
+  mesh.Run(60'000);
+  std::size_t foreignJoins = 0;
+  mesh.SetWatch([&](const std::string& aNode, const Action& aAction) {
+    const auto* send = std::get_if<SendMessage>(&aAction);
+    if (send != nullptr && send->m_message->body.type == wire::Body::Join) {
+      foreignJoins += mesh.Node(aNode).m_region != mesh.Node(send->m_node).m_region ? 1 : 0;
+    }
+  });
+  for (auto& [name, node] : mesh.Nodes()) {
+    if (node.m_failureDomain == "west-b") {
+      mesh.Restart(name);
+    }
+  }
+  CHECK(mesh.RunUntil([&] { return mesh.AllKnowEachOther() && mesh.AllHold(1); }, kStartMs));
+  CHECK(foreignJoins == 0);
+}
+
 TEST_CASE("a node cut off doubts itself and accuses nobody, and is taken back after")
 {
   RunningMesh running(24);
