Tell operators when the log lost records

Cause: a log that comes back with fewer records answers a read at a node's position with nothing, for ever: readers seemed in contact and publications never came. What is given out anew at offsets that were replayed is not taken. The new test counts what was told (the counter did not exist before) and that no node left its version.

--- a/modules/distribution/include/Controller.h
+++ b/modules/distribution/include/Controller.h
@@ -138,6 +138,8 @@
   std::uint64_t m_accusations = 0;
   std::uint64_t m_refutations = 0;
   std::uint64_t m_pauses = 0;
+  /// Reads of a log that ends before this node's position: it lost records.
+  std::uint64_t m_logWentBack = 0;
 };
 
 /// A publish request that waits for its outcome.
--- a/modules/distribution/include/Events.h
+++ b/modules/distribution/include/Events.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -54,6 +55,8 @@
 struct ConfigRead
 {
   std::vector<LogRecordBody> m_records;
+  /// Offset that the stream gives out next; nothing if the log did not tell.
+  std::optional<std::uint64_t> m_next;
 };
 
 /// The configuration stream no longer holds the records that were asked for.
--- a/modules/distribution/src/ControllerLog.cpp
+++ b/modules/distribution/src/ControllerLog.cpp
@@ -133,11 +133,31 @@
 
 } // namespace
 
+// Offsets that were given out already may be given out again: what is appended now can't be told
+// from what was replayed. The node keeps its version and says so.
+void
+NoteLogWentBack(Turn& aTurn, std::uint64_t aNext)
+{
+  Controller& controller = aTurn.m_controller;
+  if (controller.m_counters.m_logWentBack++ == 0) {
+    LogLine(LogLevel::Error, "log_went_back")
+      .Add("position", controller.m_replay->m_position)
+      .Add("next", aNext)
+      .Add("remedy", "the log lost records; publish under a new mesh name");
+  }
+  BackOff(aTurn);
+  controller.m_logRetryAt = aTurn.m_now + kLogBackoffMostMs;
+}
+
 void
 HandleConfigRead(Turn& aTurn, const ConfigRead& aRead)
 {
   Controller& controller = aTurn.m_controller;
   controller.m_readInFlight = false;
+  if (aRead.m_next && *aRead.m_next < controller.m_replay->m_position) {
+    NoteLogWentBack(aTurn, *aRead.m_next);
+    return;
+  }
   controller.m_logContact = aTurn.m_now;
   controller.m_logDelayMs = 0;
   controller.m_logCaughtUp = aRead.m_records.empty();
--- a/modules/distribution/tests/ControllerTest.cpp
+++ b/modules/distribution/tests/ControllerTest.cpp
@@ -181,6 +181,25 @@
   }
 }
 
+TEST_CASE("a log that lost its records is told, and what it gives out anew is not taken")
+{
+  RunningMesh running(8);
+  FakeMesh& mesh = running.m_mesh;
+  for (std::uint64_t version = 1; version <= 3; ++version) {
+    mesh.Publish("n1", "q" + std::to_string(version), version, "s" + std::to_string(version));
+    REQUIRE(mesh.RunUntil([&, version] { return mesh.AllHold(version + 1); }, kInForceMs));
+  }
+  mesh.Log().m_config.clear();
+  mesh.Publish("n1", "anew", 4, "anew");
+  mesh.Run(10'000);
+  std::uint64_t told = 0;
+  for (auto& [name, node] : mesh.Nodes()) {
+    CHECK(node.m_controller.m_replay->m_version == 4);
+    told += node.m_controller.m_counters.m_logWentBack;
+  }
+  CHECK(told > 0);
+}
+
 TEST_CASE("a region cut off for an hour keeps its version and catches up after")
 {
   RunningMesh running(16);
--- a/modules/distribution/tests/FakeMesh.cpp
+++ b/modules/distribution/tests/FakeMesh.cpp
@@ -226,6 +226,7 @@
     return;
   }
   ConfigRead read;
+  read.m_next = m_log.m_config.size();
   for (std::uint64_t offset = aRead.m_from; offset < m_log.m_config.size(); ++offset) {
     read.m_records.push_back({ .m_offset = offset, .m_body = m_log.m_config[offset] });
   }
--- a/modules/node/src/ControlDuty.cpp
+++ b/modules/node/src/ControlDuty.cpp
@@ -58,6 +58,7 @@
       break;
   }
   distribution::ConfigRead read;
+  read.m_next = aReply.m_next;
   for (platform::LogEntry& entry : aReply.m_entries) {
     read.m_records.push_back({ .m_offset = entry.m_offset, .m_body = std::move(entry.m_body) });
   }
--- a/modules/node/src/Metrics.cpp
+++ b/modules/node/src/Metrics.cpp
@@ -78,6 +78,7 @@
   line("accusations_total", counters.m_accusations);
   line("refutations_total", counters.m_refutations);
   line("pauses_total", counters.m_pauses);
+  line("log_went_back_total", counters.m_logWentBack);
   line("log_requests_total", aLog.m_requests);
   line("log_failures_total", aLog.m_failures);
   line("log_bytes_received_total", aLog.m_bodyBytesReceived);
--- a/modules/platform/include/LogClient.h
+++ b/modules/platform/include/LogClient.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -33,6 +34,8 @@
   ReadStatus m_status = ReadStatus::Failed;
   std::vector<LogEntry> m_entries;
   std::uint64_t m_first = 0;
+  /// Offset that the stream gives out next; nothing if the log did not tell.
+  std::optional<std::uint64_t> m_next;
 };
 
 /// How an append ended.
--- a/modules/platform/src/LogClient.cpp
+++ b/modules/platform/src/LogClient.cpp
@@ -147,6 +147,9 @@
     }
     reply.m_entries.push_back(std::move(*entry));
   }
+  if (body->contains("next")) {
+    reply.m_next = NumberOr(*body, "next", 0);
+  }
   reply.m_status = ReadStatus::Ok;
   return reply;
 }
