Measure heartbeat intervals and lost pushes; let the stand-in target's load lag

Cause: the heartbeat interval had been chosen without figures, and the stand-in's load endpoint could lie but not lag (load-lag-ms). Conclusion: 1 s stays: with 2 s a frozen reader is noticed too late for the third rank to make 3 s.

--- a/modules/distribution/bench/DistributionBench.cpp
+++ b/modules/distribution/bench/DistributionBench.cpp
@@ -1,6 +1,6 @@
 // What keeping a mesh in step costs, with the real controllers and frames on the fakes of the
 // tests: steady traffic, one change by three ways of spreading it, a failure domain that dies and
-// returns. Usage: distribution_bench NODES [CONFIG_KB]
+// returns. Usage: distribution_bench NODES [CONFIG_KB [FAN_OUT CHORDS [HEARTBEAT_MS]]]
 #define DOCTEST_CONFIG_IMPLEMENT
 #include "FakeMesh.h"
 #include "Frame.h"
@@ -34,10 +34,10 @@
 
 struct Bench
 {
-  Bench(std::size_t aNodes, const TopologyOptions& aTopology)
+  Bench(std::size_t aNodes, const ControllerOptions& aDefaults)
     : m_mesh(1)
   {
-    m_mesh.Defaults().m_topology = aTopology;
+    m_mesh.Defaults() = aDefaults;
     for (std::size_t i = 0; i < aNodes; ++i) {
       if (i % kStartedAtOnce == 0) {
         m_mesh.Run(kSecond);
@@ -172,6 +172,19 @@
              aNodes / 2 * wholePoll);
 }
 
+// A change of which three of ten pushes are lost: heartbeats and pulls have to mend it.
+void
+MeasureLostPushes(Bench& aBench, std::size_t aKilobytes)
+{
+  Random random{ 5 };
+  aBench.m_mesh.SetLoss([&](const SendMessage& aSend) {
+    return aSend.m_message->body.type == wire::Body::ConfigRecord && random.Below(100) < 30;
+  });
+  fmt::print("with 30 of 100 records lost: ");
+  PublishAndWait(aBench, 2, ConfigJson(aKilobytes, 2));
+  aBench.m_mesh.SetLoss({});
+}
+
 void
 MeasureDomainLoss(Bench& aBench, std::size_t aNodes)
 {
@@ -198,7 +211,7 @@
     mesh.Restart(name);
   }
   start = mesh.Now();
-  done = mesh.RunUntil([&] { return mesh.AllKnowEachOther() && mesh.AllHold(2); }, 120 * kSecond);
+  done = mesh.RunUntil([&] { return mesh.AllKnowEachOther() && mesh.AllHold(3); }, 120 * kSecond);
   traffic = aBench.Take();
   fmt::print("domain returns at once: known={} after_ms={} bytes_per_node={} cross_bytes={}\n",
              done,
@@ -208,9 +221,9 @@
 }
 
 void
-Run(std::size_t aNodes, std::size_t aKilobytes, const TopologyOptions& aTopology)
+Run(std::size_t aNodes, std::size_t aKilobytes, const ControllerOptions& aDefaults)
 {
-  Bench bench(aNodes, aTopology);
+  Bench bench(aNodes, aDefaults);
   const bool known =
     bench.m_mesh.RunUntil([&] { return bench.m_mesh.AllKnowEachOther(); }, 120 * kSecond);
   fmt::print("nodes={} start in groups of 50: known={} after_ms={} log_requests={}\n",
@@ -241,6 +254,7 @@
              mostLinks,
              spent * 1e6 / nodes / seconds);
   MeasureChange(bench, aNodes, aKilobytes);
+  MeasureLostPushes(bench, aKilobytes);
   MeasureDomainLoss(bench, aNodes);
 }
 
@@ -254,11 +268,14 @@
   context.setAsDefaultForAssertsOutOfTestCases();
   const std::size_t nodes = aCount > 1 ? std::stoul(aArguments[1]) : 50;
   const std::size_t kilobytes = aCount > 2 ? std::stoul(aArguments[2]) : 2;
-  TopologyOptions topology;
+  ControllerOptions defaults;
   if (aCount > 4) {
-    topology.m_fanOut = std::stoul(aArguments[3]);
-    topology.m_chords = std::stoul(aArguments[4]);
+    defaults.m_topology.m_fanOut = std::stoul(aArguments[3]);
+    defaults.m_topology.m_chords = std::stoul(aArguments[4]);
+  }
+  if (aCount > 5) {
+    defaults.m_heartbeatMs = std::stol(aArguments[5]);
   }
-  Run(nodes, kilobytes, topology);
+  Run(nodes, kilobytes, defaults);
   return 0;
 }
--- a/tools/StandInTarget.cpp
+++ b/tools/StandInTarget.cpp
@@ -40,6 +40,8 @@
   Milliseconds m_ttlMs = 3000;
   /// Fixed answer of the load endpoint; below 0 it tells the truth.
   Milliseconds m_claimedLoad = -1;
+  /// How old the load is that the endpoint tells.
+  Milliseconds m_loadLagMs = 0;
 };
 
 class TargetServer
@@ -70,9 +72,7 @@
       co_return net::MakeResponse(http::status::ok, "text/plain", "ok");
     }
     if (path == "/load") {
-      const Milliseconds load = m_options.m_claimedLoad < 0 ? static_cast<Milliseconds>(m_running)
-                                                            : m_options.m_claimedLoad;
-      co_return net::MakeResponse(http::status::ok, "text/plain", std::to_string(load));
+      co_return net::MakeResponse(http::status::ok, "text/plain", std::to_string(ToldLoad()));
     }
     HttpResponse response = co_await Work(std::move(aRequest));
     co_return response;
@@ -117,6 +117,20 @@
                                                            { "most_running", m_mostRunning } }));
   }
 
+  // The load endpoint may lie, or tell what was true a while ago.
+  Milliseconds ToldLoad()
+  {
+    if (m_options.m_claimedLoad >= 0) {
+      return m_options.m_claimedLoad;
+    }
+    const Instant now = Clock::Now();
+    if (now - m_loadTakenAt >= m_options.m_loadLagMs) {
+      m_loadTakenAt = now;
+      m_loadTaken = static_cast<Milliseconds>(m_running);
+    }
+    return m_loadTaken;
+  }
+
   HttpResponse Shed()
   {
     ++m_shed;
@@ -177,6 +191,8 @@
   std::map<std::string, std::uint64_t> m_runs;
   std::uint64_t m_running = 0;
   std::uint64_t m_mostRunning = 0;
+  Milliseconds m_loadTaken = 0;
+  Instant m_loadTakenAt;
   std::uint64_t m_total = 0;
   std::uint64_t m_shed = 0;
   std::uint64_t m_cancelled = 0;
@@ -197,7 +213,8 @@
                         .m_workMs = aOptions.Number("work-ms", 1),
                         .m_coldMs = aOptions.Number("cold-ms", 0),
                         .m_ttlMs = aOptions.Number("ttl-ms", 3000),
-                        .m_claimedLoad = aOptions.Number("claimed-load", -1) });
+                        .m_claimedLoad = aOptions.Number("claimed-load", -1),
+                        .m_loadLagMs = aOptions.Number("load-lag-ms", 0) });
   net::HttpServer server(
     context,
     { .m_idleMs = 600'000 },
