Copy a call's request in one place

Cause: re-read of the change: the node beside the target and the one that takes a forwarded keyed request copied method, target, headers and body of a call alike. RequestFrom in Headers serves both; the target's own headers are set on top of it as before. Behaviour is unchanged.

--- a/modules/node/src/CallsDutyKeys.cpp
+++ b/modules/node/src/CallsDutyKeys.cpp
@@ -73,20 +73,6 @@
   return call;
 }
 
-HttpRequest
-RequestOf(const CallT& aCall)
-{
-  HttpRequest request;
-  request.version(11);
-  request.method_string(aCall.method);
-  request.target(aCall.target);
-  for (const auto& header : aCall.headers) {
-    request.insert(header->name, header->value);
-  }
-  request.body().assign(aCall.body.begin(), aCall.body.end());
-  return request;
-}
-
 // The nodes of a region that serve a claim stream, first rank first. A soft role: two that serve it
 // at once are both right, since the log's order decides.
 std::vector<std::string>
@@ -257,7 +243,7 @@
 CallsDuty::AnswerForwarded(CallT aCall)
 {
   const bool claimed = aCall.claimed;
-  HttpResponse response = co_await HandleForwarded(RequestOf(aCall), claimed);
+  HttpResponse response = co_await HandleForwarded(RequestFrom(aCall), claimed);
   AnswerT answer;
   const std::string_view outcome = response.base()[std::string(kOutcomeField)];
   answer.outcome = OutcomeNamed(outcome).value_or(CallOutcome::Done);
--- a/modules/node/src/Headers.cpp
+++ b/modules/node/src/Headers.cpp
@@ -52,6 +52,20 @@
   return headers;
 }
 
+net::HttpRequest
+RequestFrom(const wire::CallT& aCall)
+{
+  net::HttpRequest request;
+  request.version(11);
+  request.method_string(aCall.method);
+  request.target(aCall.target);
+  for (const auto& header : aCall.headers) {
+    request.insert(header->name, header->value);
+  }
+  request.body().assign(aCall.body.begin(), aCall.body.end());
+  return request;
+}
+
 net::HttpResponse
 ResponseFrom(const wire::AnswerT& aAnswer)
 {
--- a/modules/node/src/Headers.h
+++ b/modules/node/src/Headers.h
@@ -21,6 +21,10 @@
 HeaderList
 EndToEndHeaders(const net::http::fields& aFields);
 
+/// @return the request that aCall carries, as it came: method, target, headers and body.
+net::HttpRequest
+RequestFrom(const wire::CallT& aCall);
+
 /// @return the response that aAnswer carries.
 net::HttpResponse
 ResponseFrom(const wire::AnswerT& aAnswer);
--- a/modules/node/src/TargetRunner.cpp
+++ b/modules/node/src/TargetRunner.cpp
@@ -26,13 +26,7 @@
 HttpRequest
 MakeTargetRequest(const CallT& aCall, std::string_view aHost, Milliseconds aLeftMs)
 {
-  HttpRequest request;
-  request.version(11);
-  request.method_string(aCall.method);
-  request.target(aCall.target);
-  for (const auto& header : aCall.headers) {
-    request.insert(header->name, header->value);
-  }
+  HttpRequest request = RequestFrom(aCall);
   if (request.count(http::field::host) == 0) {
     request.set(http::field::host, aHost);
   }
@@ -43,7 +37,6 @@
                                 .m_sampled = aCall.sampled }));
   request.set("Sequoiastep-Timeout-Ms", std::to_string(aLeftMs));
   request.set("Sequoiastep-Version", std::to_string(aCall.version));
-  request.body().assign(aCall.body.begin(), aCall.body.end());
   request.prepare_payload();
   return request;
 }
