--- a/modules/net/src/HttpServer.cpp
+++ b/modules/net/src/HttpServer.cpp
@@ -1,5 +1,6 @@
 #include "HttpServer.h"
 
+#include "Acceptor.h"
 #include "Address.h"
 #include "Log.h"
 
@@ -206,24 +207,9 @@
 Result<tcp::endpoint>
 HttpServer::Listen(const tcp::endpoint& aEndpoint)
 {
-  tcp::acceptor& acceptor = m_state->m_acceptor;
-  error_code error;
-  acceptor.open(aEndpoint.protocol(), error);
-  if (!error) {
-    acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    acceptor.bind(aEndpoint, error);
-  }
-  if (!error) {
-    acceptor.listen(asio::socket_base::max_listen_connections, error);
-  }
-  if (error) {
-    return Fail(ErrorKind::PortInUse,
-                fmt::format("can't listen on {} ({}); free the port or choose another",
-                            AddressText(aEndpoint),
-                            error.message()));
-  }
+  BOOST_LEAF_AUTO(bound, OpenAcceptor(m_state->m_acceptor, aEndpoint));
   asio::co_spawn(m_state->m_context, AcceptLoop(m_state), asio::detached);
-  return acceptor.local_endpoint();
+  return bound;
 }
 
 void
--- a/modules/node/src/CallsDuty.cpp
+++ b/modules/node/src/CallsDuty.cpp
@@ -61,7 +61,7 @@
 
 CallsDuty::CallsDuty(asio::io_context& aContext,
                      const Settings& aSettings,
-                     Identity aIdentity,
+                     const Identity& aIdentity,
                      Shared& aShared,
                      Notify aNotify)
   : m_context(aContext)
@@ -183,7 +183,7 @@
     if (fresh && m_shared.m_ready.load()) {
       co_return;
     }
-    if (fresh && !m_shared.m_snapshot.load()) {
+    if (fresh && !m_shared.m_wasReady.load()) {
       co_return; // Still starting: the call is refused at once.
     }
     asio::steady_timer timer(m_context, std::chrono::milliseconds(kHoldStepMs));
--- a/modules/node/src/CallsDuty.h
+++ b/modules/node/src/CallsDuty.h
@@ -48,7 +48,7 @@
 
   CallsDuty(net::asio::io_context& aContext,
             const Settings& aSettings,
-            Identity aIdentity,
+            const Identity& aIdentity,
             Shared& aShared,
             Notify aNotify);
 
--- a/modules/node/src/ControlDuty.cpp
+++ b/modules/node/src/ControlDuty.cpp
@@ -207,6 +207,9 @@
   void operator()(const distribution::ReadinessChanged& aAction) const
   {
     m_duty.m_shared.m_ready.store(aAction.m_ready);
+    if (aAction.m_ready) {
+      m_duty.m_shared.m_wasReady.store(true);
+    }
     LogLine(LogLevel::Info, "readiness")
       .Add("node", m_duty.m_settings.m_node)
       .Add("ready", aAction.m_ready ? "yes" : "no");
--- a/modules/node/src/PeerLinks.cpp
+++ b/modules/node/src/PeerLinks.cpp
@@ -1,5 +1,6 @@
 #include "PeerLinks.h"
 
+#include "Acceptor.h"
 #include "Address.h"
 #include "Clock.h"
 #include "Log.h"
@@ -116,23 +117,9 @@
 Result<tcp::endpoint>
 PeerLinks::Listen(const tcp::endpoint& aEndpoint)
 {
-  net::error_code error;
-  m_acceptor.open(aEndpoint.protocol(), error);
-  if (!error) {
-    m_acceptor.set_option(tcp::acceptor::reuse_address(true), error);
-    m_acceptor.bind(aEndpoint, error);
-  }
-  if (!error) {
-    m_acceptor.listen(asio::socket_base::max_listen_connections, error);
-  }
-  if (error) {
-    return Fail(ErrorKind::PortInUse,
-                fmt::format("can't listen on {} ({}); free the port or choose another",
-                            net::AddressText(aEndpoint),
-                            error.message()));
-  }
+  BOOST_LEAF_AUTO(bound, net::OpenAcceptor(m_acceptor, aEndpoint));
   asio::co_spawn(m_context, AcceptLoop(), asio::detached);
-  return m_acceptor.local_endpoint();
+  return bound;
 }
 
 Awaitable<void>
--- a/modules/node/src/Shared.h
+++ b/modules/node/src/Shared.h
@@ -55,6 +55,8 @@
   std::atomic<std::shared_ptr<const config::Snapshot>> m_snapshot;
   std::atomic<std::shared_ptr<const RoutingView>> m_view;
   std::atomic<bool> m_ready{ false };
+  /// The node was ready once; if it is not ready now, it checks something that takes a moment.
+  std::atomic<bool> m_wasReady{ false };
   std::atomic<bool> m_draining{ false };
   /// When the control thread last ticked, in milliseconds of the monotonic clock.
   std::atomic<Milliseconds> m_controlTick{ 0 };
--- a/modules/wire/include/Frame.h
+++ b/modules/wire/include/Frame.h
@@ -45,6 +45,9 @@
   /// NewerFormat. After an error the connection must be closed.
   Result<std::optional<EnvelopeT>> Next();
 
+  /// @return bytes held, those of frames already read included.
+  std::size_t BufferedBytes() const { return m_buffer.size(); }
+
 private:
   std::string m_buffer;
   std::size_t m_consumed = 0;
--- a/modules/wire/src/Frame.cpp
+++ b/modules/wire/src/Frame.cpp
@@ -10,6 +10,8 @@
 
 constexpr std::uint8_t kFlagCompressed = 1;
 constexpr std::size_t kCompressFromBytes = 512;
+// Bytes of frames already read that may stay in front of a partial one.
+constexpr std::size_t kMostConsumedBytes = 64U << 10;
 
 struct FrameHeader
 {
@@ -113,6 +115,9 @@
   if (m_consumed == m_buffer.size()) {
     m_buffer = std::string(); // An idle connection keeps no buffer.
     m_consumed = 0;
+  } else if (m_consumed > kMostConsumedBytes) {
+    m_buffer.erase(0, m_consumed);
+    m_consumed = 0;
   }
   m_buffer += aBytes;
 }
--- a/modules/wire/tests/FrameTest.cpp
+++ b/modules/wire/tests/FrameTest.cpp
@@ -2,6 +2,7 @@
 #include "Compression.h"
 #include "Random.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 
 using namespace sequoiastep;
@@ -61,6 +62,22 @@
   }
 }
 
+TEST_CASE("a stream that always ends within a frame does not grow the buffer")
+{
+  const std::string frame = SampleFrame(1000);
+  const std::string stream = frame + frame;
+  FrameReader reader;
+  std::size_t most = 0;
+  reader.Feed(std::string_view(frame).substr(0, 100));
+  for (int i = 0; i < 2000; ++i) {
+    reader.Feed(std::string_view(stream).substr(100, frame.size()));
+    while (ReadOne(reader).m_message) {
+    }
+    most = std::max(most, reader.BufferedBytes());
+  }
+  CHECK(most < 100'000);
+}
+
 TEST_CASE("a frame of another format, another protocol or over the limit is an error of its kind")
 {
   const auto errorOf = [](std::string aFrame, std::size_t aPlace, char aByte) {
--- a/tools/StandInLog.cpp
+++ b/tools/StandInLog.cpp
@@ -224,12 +224,6 @@
   std::uint64_t m_readBytes = 0;
 };
 
-HttpResponse
-BadRequest(http::status aStatus, const std::string& aReason)
-{
-  return net::MakeResponse(aStatus, "text/plain", aReason);
-}
-
 } // namespace
 
 int
--- a/tools/StandInTarget.cpp
+++ b/tools/StandInTarget.cpp
@@ -183,12 +183,6 @@
   bool m_draining = false;
 };
 
-HttpResponse
-BadRequest(http::status aStatus, const std::string& aReason)
-{
-  return net::MakeResponse(aStatus, "text/plain", aReason);
-}
-
 } // namespace
 
 int
--- a/tools/ToolOptions.cpp
+++ b/tools/ToolOptions.cpp
@@ -36,6 +36,12 @@
   return found == m_values.end() ? aDefault : std::stoll(found->second);
 }
 
+net::HttpResponse
+BadRequest(net::http::status aStatus, const std::string& aReason)
+{
+  return net::MakeResponse(aStatus, "text/plain", aReason);
+}
+
 int
 ServeUntilSignal(net::asio::io_context& aContext,
                  net::HttpServer& aServer,
--- a/tools/ToolOptions.h
+++ b/tools/ToolOptions.h
@@ -26,6 +26,10 @@
   std::map<std::string, std::string> m_values;
 };
 
+/// @return the answer of a stand-in to a request that it can't read.
+net::HttpResponse
+BadRequest(net::http::status aStatus, const std::string& aReason);
+
 /// Listens on aAddress, prints `listening role=... address=...`, and serves until SIGTERM or
 /// SIGINT.
 /// @return the exit code.
