--- a/modules/base/src/Log.cpp
+++ b/modules/base/src/Log.cpp
@@ -5,6 +5,7 @@
 #include "Ring.h"
 
 #include <atomic>
+#include <cstdio>
 #include <fmt/core.h>
 #include <memory>
 #include <semaphore>
@@ -40,11 +41,12 @@
   while (!aQueue.m_stopping.load()) {
     aQueue.m_ready.acquire();
     while (auto line = aQueue.m_lines.TryPop()) {
-      fmt::print(stderr, "{}\n", *line);
+      fmt::print(stdout, "{}\n", *line);
     }
+    std::fflush(stdout);
     const std::uint64_t refused = aQueue.m_lines.Refused();
     if (refused != reported) {
-      fmt::print(stderr, "level=warning event=log_lines_dropped total={}\n", refused);
+      fmt::print(stdout, "level=warning event=log_lines_dropped total={}\n", refused);
       reported = refused;
     }
   }
@@ -105,8 +107,9 @@
   gQueue->m_ready.release();
   gQueue->m_thread.join();
   while (auto line = gQueue->m_lines.TryPop()) {
-    fmt::print(stderr, "{}\n", *line);
+    fmt::print(stdout, "{}\n", *line);
   }
+  std::fflush(stdout);
   gQueue.reset();
 }
 
@@ -125,7 +128,7 @@
     return;
   }
   if (!gQueue) {
-    fmt::print(stderr, "{}\n", m_text);
+    fmt::print(stdout, "{}\n", m_text);
     return;
   }
   if (gQueue->m_lines.TryPush(std::move(m_text))) {
--- a/modules/config/include/Documents.h
+++ b/modules/config/include/Documents.h
@@ -54,15 +54,42 @@
   bool m_crossRegion = true;
 };
 
+/// A cluster's share of a route's requests.
+struct WeightedCluster
+{
+  std::string m_cluster;
+  std::uint32_t m_weight = 0;
+};
+
 /// Where requests under one prefix go.
 struct Route
 {
+  /// Tells the route from others in all versions.
+  std::string m_name;
+  /// Host the requests name, in lower case and without a port; any if empty.
+  std::string m_host;
   std::string m_prefix;
   /// Methods served; all if empty.
   std::vector<std::string> m_methods;
-  std::string m_cluster;
+  /// At least one; requests are divided among them by weight.
+  std::vector<WeightedCluster> m_clusters;
   Repeat m_repeat = Repeat::Never;
   std::uint32_t m_timeoutMs = 0;
+  /// Latency that the operators aim at.
+  std::uint32_t m_objectiveMs = 0;
+  /// Targets that one request may be sent to.
+  std::uint32_t m_maxAttempts = 0;
+  /// Rank among routes; 0 comes first.
+  std::uint32_t m_priority = 0;
+};
+
+/// What a caller may send, and how long it may take or stay idle.
+struct CallerLimits
+{
+  std::uint64_t m_maxHeaderBytes = 16U << 10;
+  std::uint64_t m_maxBodyBytes = 8U << 20;
+  std::uint64_t m_headerTimeoutMs = 15'000;
+  std::uint64_t m_idleTimeoutMs = 60'000;
 };
 
 /// The typed, checked configuration of one region. Every reference resolves.
@@ -74,8 +101,21 @@
   std::map<std::string, Cluster, std::less<>> m_clusters;
   /// Longest prefix first, so that the first match is the right one.
   std::vector<Route> m_routes;
+  /// Places in m_routes by host, in the order of m_routes. The empty host stands for any.
+  std::map<std::string, std::vector<std::size_t>, std::less<>> m_routesByHost;
+  /// Nothing if the node's own settings bound callers.
+  std::optional<CallerLimits> m_callerLimits;
 };
 
+/// Sorts the routes and indexes them by host. Called once, when all routes are in.
+void
+IndexRoutes(Effective& aEffective);
+
+/// @param aPlace where the configuration stands, for messages.
+/// @return success, or a BadDocument that names the first cluster or service that does not exist.
+Result<void>
+CheckReferences(const Effective& aEffective, std::string_view aPlace);
+
 /// The documents as operators published them.
 struct Documents
 {
@@ -114,8 +154,19 @@
 Result<void>
 CheckAllRegions(const Documents& aDocuments);
 
-/// @return the route that serves the request, or nullptr. aPath ends before any query.
+/// What of a request decides its route.
+struct RouteQuery
+{
+  /// As the Host header gives it.
+  std::string_view m_host;
+  std::string_view m_method;
+  /// Ends before any query.
+  std::string_view m_path;
+};
+
+/// @return the route that serves the request, or nullptr. Routes of its host go before those of
+/// any.
 const Route*
-FindRoute(const Effective& aEffective, std::string_view aMethod, std::string_view aPath);
+FindRoute(const Effective& aEffective, const RouteQuery& aQuery);
 
 } // namespace sequoiastep::config
--- a/modules/config/src/Documents.cpp
+++ b/modules/config/src/Documents.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <boost/json.hpp>
+#include <cctype>
 #include <fmt/core.h>
 
 namespace sequoiastep::config {
@@ -154,21 +155,90 @@
   return MergePatch(aDocuments.m_base, overlay->second).as_object();
 }
 
-const Route*
-FindRoute(const Effective& aEffective, std::string_view aMethod, std::string_view aPath)
+namespace {
+
+// The host without its port, in lower case.
+std::string
+BareHost(std::string_view aHost)
+{
+  std::string host(aHost.substr(0, aHost.rfind(':')));
+  std::transform(host.begin(), host.end(), host.begin(), [](unsigned char aByte) {
+    return static_cast<char>(std::tolower(aByte));
+  });
+  return host;
+}
+
+bool
+Serves(const Route& aRoute, const RouteQuery& aQuery)
+{
+  if (!aQuery.m_path.starts_with(aRoute.m_prefix)) {
+    return false;
+  }
+  const bool wholeSegment = aQuery.m_path.size() == aRoute.m_prefix.size() ||
+                            aRoute.m_prefix.back() == '/' ||
+                            aQuery.m_path[aRoute.m_prefix.size()] == '/';
+  const auto& methods = aRoute.m_methods;
+  return wholeSegment &&
+         (methods.empty() ||
+          std::find(methods.begin(), methods.end(), aQuery.m_method) != methods.end());
+}
+
+} // namespace
+
+void
+IndexRoutes(Effective& aEffective)
 {
+  std::stable_sort(aEffective.m_routes.begin(),
+                   aEffective.m_routes.end(),
+                   [](const Route& aLeft, const Route& aRight) {
+                     return aLeft.m_prefix.size() > aRight.m_prefix.size();
+                   });
+  aEffective.m_routesByHost.clear();
+  for (std::size_t i = 0; i < aEffective.m_routes.size(); ++i) {
+    aEffective.m_routesByHost[aEffective.m_routes[i].m_host].push_back(i);
+  }
+}
+
+Result<void>
+CheckReferences(const Effective& aEffective, std::string_view aPlace)
+{
+  for (const auto& [name, cluster] : aEffective.m_clusters) {
+    if (!aEffective.m_services.contains(cluster.m_service)) {
+      return Fail(ErrorKind::BadDocument,
+                  fmt::format("{}.clusters.{}.service: there is no service '{}'; add it to "
+                              "services or name another",
+                              aPlace,
+                              name,
+                              cluster.m_service));
+    }
+  }
   for (const Route& route : aEffective.m_routes) {
-    if (!aPath.starts_with(route.m_prefix)) {
-      continue;
+    for (const WeightedCluster& part : route.m_clusters) {
+      if (!aEffective.m_clusters.contains(part.m_cluster)) {
+        return Fail(ErrorKind::BadDocument,
+                    fmt::format("{}.{}.cluster: there is no cluster '{}'; add it to clusters or "
+                                "name another",
+                                aPlace,
+                                route.m_name,
+                                part.m_cluster));
+      }
     }
-    const bool wholeSegment = aPath.size() == route.m_prefix.size() ||
-                              route.m_prefix.back() == '/' || aPath[route.m_prefix.size()] == '/';
-    if (!wholeSegment) {
+  }
+  return {};
+}
+
+const Route*
+FindRoute(const Effective& aEffective, const RouteQuery& aQuery)
+{
+  for (const std::string& host : { BareHost(aQuery.m_host), std::string() }) {
+    const auto places = aEffective.m_routesByHost.find(host);
+    if (places == aEffective.m_routesByHost.end()) {
       continue;
     }
-    const auto& methods = route.m_methods;
-    if (methods.empty() || std::find(methods.begin(), methods.end(), aMethod) != methods.end()) {
-      return &route;
+    for (const std::size_t place : places->second) {
+      if (Serves(aEffective.m_routes[place], aQuery)) {
+        return &aEffective.m_routes[place];
+      }
     }
   }
   return nullptr;
--- a/modules/distribution/include/Controller.h
+++ b/modules/distribution/include/Controller.h
@@ -51,6 +51,8 @@
   /// Joins answered in one second; more are told to come back.
   std::uint32_t m_joinsPerSecond = 8;
   Milliseconds m_logWaitMs = 2000;
+  /// False if configurations do not come as publications: then the log holds no stream of them.
+  bool m_followPublications = true;
   /// Silence of all readers of lower rank after which rank 1 reads the log; each further rank adds
   /// the step.
   Milliseconds m_readerTakeoverMs = 1700;
@@ -58,7 +60,8 @@
   Milliseconds m_publishWaitMs = 2500;
   Milliseconds m_checkpointEveryMs = 300'000;
   std::uint32_t m_checkpointEveryRecords = 50;
-  Milliseconds m_directoryEveryMs = 60'000;
+  /// How often a node writes its entry of the directory anew.
+  Milliseconds m_directoryEveryMs = 43'200'000;
   /// How long a member that is gone is remembered, so that it can be found again after a cut.
   Milliseconds m_keepGoneMs = 7'200'000;
   /// A gap between ticks that counts as a pause of the process.
@@ -177,9 +180,15 @@
   /// Spreads the turn to the log of nodes that start together.
   Milliseconds m_logJoinJitterMs = 0;
   std::uint64_t m_floor = 0;
-  bool m_directoryAsked = false;
+  bool m_directoryWriting = false;
+  bool m_directoryReading = false;
+  /// The own entry was written since the directory was last read.
+  bool m_directoryDue = false;
   Instant m_directoryRetryAt;
   Milliseconds m_directoryDelayMs = 0;
+  /// The directory as it was last read.
+  std::vector<DirectoryEntry> m_directory;
+  Instant m_nextStrangers;
 
   /// Reason why replay stopped before a record, empty while it goes on.
   std::string m_blockedReason;
--- a/modules/distribution/include/Events.h
+++ b/modules/distribution/include/Events.h
@@ -75,16 +75,24 @@
   std::vector<std::string> m_bodies;
 };
 
-/// Peer addresses that a node wrote to the directory stream, all of its region.
+/// What a node wrote to the directory: its region and where it is reached.
 struct DirectoryEntry
 {
   std::string m_region;
   std::vector<std::string> m_addresses;
 };
 
-/// The newest entries of the directory stream; none if it is empty or can't be read.
+/// This node's entry of the directory was written, or the log did not say so.
+struct DirectoryWritten
+{
+  bool m_ok = false;
+};
+
+/// The newest entry of each node.
 struct DirectoryRead
 {
+  /// False if the directory can't be read.
+  bool m_ok = false;
   std::vector<DirectoryEntry> m_entries;
 };
 
@@ -146,6 +154,7 @@
                            ConfigExpired,
                            ConfigReadFailed,
                            CheckpointsRead,
+                           DirectoryWritten,
                            DirectoryRead,
                            PublicationAppended,
                            PublishRequested,
@@ -198,7 +207,7 @@
   std::string m_body;
 };
 
-/// Write a sample of live peer addresses to the directory stream.
+/// Write this node's entry of the directory; answered by DirectoryWritten.
 struct AppendDirectory
 {
   DirectoryEntry m_entry;
--- a/modules/distribution/src/Controller.cpp
+++ b/modules/distribution/src/Controller.cpp
@@ -11,9 +11,6 @@
 
 namespace {
 
-// Spreads the first directory entries of nodes that start together.
-constexpr std::uint64_t kFirstDirectoryJitterMs = 3000;
-
 void
 HandleMessage(Turn& aTurn, std::string_view aNode, const wire::EnvelopeT& aMessage)
 {
@@ -94,6 +91,7 @@
 {
   TickPause(aTurn);
   TickJoin(aTurn);
+  TickDirectory(aTurn);
   TickMembers(aTurn);
   TickLinks(aTurn);
   TickLog(aTurn);
@@ -119,6 +117,7 @@
   void operator()(const ConfigExpired& aEvent) { HandleConfigExpired(m_turn, aEvent); }
   void operator()(const ConfigReadFailed&) { HandleConfigReadFailed(m_turn); }
   void operator()(const CheckpointsRead& aEvent) { HandleCheckpointsRead(m_turn, aEvent); }
+  void operator()(const DirectoryWritten& aEvent) { HandleDirectoryWritten(m_turn, aEvent); }
   void operator()(const DirectoryRead& aEvent) { HandleDirectoryRead(m_turn, aEvent); }
   void operator()(const PublicationAppended& aEvent) { HandlePublicationAppended(m_turn, aEvent); }
   void operator()(const PublishRequested& aEvent) { HandlePublishRequested(m_turn, aEvent); }
@@ -152,8 +151,7 @@
   controller.m_phaseSince = aNow;
   controller.m_lastTick = aNow;
   controller.m_lastCheckpoint = aNow;
-  controller.m_nextDirectory =
-    aNow + static_cast<Milliseconds>(controller.m_random.Below(kFirstDirectoryJitterMs));
+  controller.m_nextDirectory = aNow;
   controller.m_nextGoneProbe = aNow;
   controller.m_logJoinJitterMs = static_cast<Milliseconds>(
     controller.m_random.Below(static_cast<std::uint64_t>(aOptions.m_joinWaitMs)));
--- a/modules/distribution/src/ControllerJoin.cpp
+++ b/modules/distribution/src/ControllerJoin.cpp
@@ -12,27 +12,13 @@
 namespace {
 
 constexpr Milliseconds kJoinAnswerMs = 2000;
-constexpr Milliseconds kDirectoryAgainLeastMs = 500;
-constexpr Milliseconds kDirectoryAgainMostMs = 4000;
 constexpr Milliseconds kBusyLeastMs = 200;
 constexpr std::uint64_t kBusySpreadMs = 800;
 constexpr Milliseconds kPauseCheckMostMs = 2000;
 constexpr Milliseconds kJoinWindowMs = 1000;
-constexpr Milliseconds kGroupingMs = 60'000;
 
 } // namespace
 
-void
-AskDirectory(Turn& aTurn)
-{
-  Controller& controller = aTurn.m_controller;
-  if (controller.m_directoryAsked || aTurn.m_now < controller.m_directoryRetryAt) {
-    return;
-  }
-  controller.m_directoryAsked = true;
-  aTurn.m_actions.emplace_back(ReadDirectory{});
-}
-
 namespace {
 
 void
@@ -42,10 +28,6 @@
   for (const std::string& hint : controller.m_options.m_hints) {
     DialAddress(aTurn, hint);
   }
-  const bool hintsFailed = aTurn.m_now - controller.m_startedAt > kJoinAnswerMs / 2;
-  if (controller.m_options.m_hints.empty() || hintsFailed) {
-    AskDirectory(aTurn);
-  }
   if (!controller.m_links.empty() && aTurn.m_now >= controller.m_joinRetryAt) {
     auto peer = controller.m_links.begin();
     std::advance(peer, controller.m_random.Below(controller.m_links.size()));
@@ -54,20 +36,14 @@
   }
 }
 
-// A starter turns to its own region first: what it is told by another one crosses a paid link.
-bool
-HomeFailed(const Controller& aController, Instant aNow)
-{
-  const bool homeLinked = std::any_of(aController.m_links.begin(),
-                                      aController.m_links.end(),
-                                      [](const auto& aItem) { return !aItem.second.m_foreign; });
-  return !homeLinked && aNow - aController.m_startedAt > kJoinAnswerMs / 2;
-}
-
 void
 TurnToLog(Turn& aTurn)
 {
   Controller& controller = aTurn.m_controller;
+  if (!controller.m_options.m_followPublications) {
+    FinishJoin(aTurn);
+    return;
+  }
   controller.m_phase = JoinPhase::FromLog;
   controller.m_phaseSince = aTurn.m_now;
   LogLine(LogLevel::Info, "join_from_log").Add("reason", "no peer answered");
@@ -138,40 +114,6 @@
   }
 }
 
-void
-HandleDirectoryRead(Turn& aTurn, const DirectoryRead& aRead)
-{
-  Controller& controller = aTurn.m_controller;
-  controller.m_directoryAsked = false;
-  controller.m_directoryDelayMs = NextDelay(controller.m_random,
-                                            controller.m_directoryDelayMs,
-                                            kDirectoryAgainLeastMs,
-                                            kDirectoryAgainMostMs);
-  controller.m_directoryRetryAt = aTurn.m_now + controller.m_directoryDelayMs;
-  std::set<std::string, std::less<>> known;
-  std::set<std::string, std::less<>> knownRegions;
-  for (const auto& [node, record] : controller.m_table.m_members) {
-    const Member& member = record.m_member;
-    if (controller.m_phase == JoinPhase::Joined && membership::IsLive(member.m_state)) {
-      known.insert(member.m_address);
-      knownRegions.insert(member.m_region);
-    }
-  }
-  const bool homeFailed = HomeFailed(controller, aTurn.m_now);
-  for (const DirectoryEntry& entry : aRead.m_entries) {
-    const bool foreign = entry.m_region != controller.m_options.m_region;
-    const bool joined = controller.m_phase == JoinPhase::Joined;
-    if (foreign && (joined ? knownRegions.contains(entry.m_region) : !homeFailed)) {
-      continue;
-    }
-    for (const std::string& address : entry.m_addresses) {
-      if (!known.contains(address)) {
-        DialAddress(aTurn, address);
-      }
-    }
-  }
-}
-
 void
 FinishJoin(Turn& aTurn)
 {
@@ -210,11 +152,6 @@
       SearchPeers(aTurn); // A peer that answers is as good as the log.
       break;
     case JoinPhase::Joined:
-      // Nodes and groups of nodes that started apart find each other.
-      if (controller.m_links.empty() ||
-          (HeadsOwnDomain(controller) && aTurn.m_now - controller.m_startedAt < kGroupingMs)) {
-        AskDirectory(aTurn);
-      }
       break;
   }
 }
--- a/modules/distribution/src/ControllerLog.cpp
+++ b/modules/distribution/src/ControllerLog.cpp
@@ -11,7 +11,6 @@
 constexpr Milliseconds kLogBackoffLeastMs = 100;
 constexpr Milliseconds kLogBackoffMostMs = 2000;
 constexpr Milliseconds kReadSlackMs = 1000;
-constexpr std::size_t kDirectorySample = 5;
 
 // True if every reader of lower rank has been out of contact with the log for its rank's delay.
 bool
@@ -37,7 +36,8 @@
 bool
 ShouldReadLog(const Controller& aController, Instant aNow)
 {
-  if (aController.m_left || !aController.m_blockedReason.empty()) {
+  if (aController.m_left || !aController.m_blockedReason.empty() ||
+      !aController.m_options.m_followPublications) {
     return false;
   }
   if (aController.m_phase == JoinPhase::FromLog) {
@@ -92,45 +92,6 @@
     AppendCheckpoint{ .m_body = config::EncodeCheckpoint(*controller.m_replay) });
 }
 
-std::vector<std::string>
-SampleOfLiveAddresses(Controller& aController)
-{
-  std::vector<std::string> addresses;
-  for (const auto& [node, record] : aController.m_table.m_members) {
-    const membership::Member& member = record.m_member;
-    if (membership::IsLive(member.m_state) && member.m_region == aController.m_options.m_region) {
-      addresses.push_back(record.m_member.m_address);
-    }
-  }
-  for (std::size_t i = 0; i < std::min(kDirectorySample, addresses.size()); ++i) {
-    std::swap(addresses[i], addresses[i + aController.m_random.Below(addresses.size() - i)]);
-  }
-  addresses.resize(std::min(kDirectorySample, addresses.size()));
-  if (std::find(addresses.begin(), addresses.end(), aController.m_options.m_address) ==
-      addresses.end()) {
-    addresses.push_back(aController.m_options.m_address);
-  }
-  return addresses;
-}
-
-void
-WriteDirectoryIfDue(Turn& aTurn)
-{
-  Controller& controller = aTurn.m_controller;
-  if (!controller.m_ready || aTurn.m_now < controller.m_nextDirectory ||
-      !HeadsOwnDomain(controller)) {
-    return;
-  }
-  const Milliseconds every = controller.m_options.m_directoryEveryMs;
-  const auto jitter =
-    static_cast<Milliseconds>(controller.m_random.Below(static_cast<std::uint64_t>(every / 4 + 1)));
-  controller.m_nextDirectory = aTurn.m_now + (every - jitter);
-  aTurn.m_actions.emplace_back(
-    AppendDirectory{ { .m_region = controller.m_options.m_region,
-                       .m_addresses = SampleOfLiveAddresses(controller) } });
-  AskDirectory(aTurn); // Nodes that nobody here knows may have written to it.
-}
-
 } // namespace
 
 // Offsets that were given out already may be given out again: what is appended now can't be told
@@ -217,7 +178,6 @@
     StartRead(aTurn);
   }
   WriteCheckpointIfDue(aTurn);
-  WriteDirectoryIfDue(aTurn);
 }
 
 std::uint32_t
--- a/modules/distribution/src/ControllerPriv.h
+++ b/modules/distribution/src/ControllerPriv.h
@@ -147,7 +147,7 @@
 
 // ControllerJoin.cpp
 void
-AskDirectory(Turn& aTurn);
+TickDirectory(Turn& aTurn);
 void
 AskToJoin(Turn& aTurn, std::string_view aNode);
 void
@@ -159,6 +159,8 @@
 void
 HandleDirectoryRead(Turn& aTurn, const DirectoryRead& aRead);
 void
+HandleDirectoryWritten(Turn& aTurn, const DirectoryWritten& aWritten);
+void
 FinishJoin(Turn& aTurn);
 void
 TickJoin(Turn& aTurn);
--- a/modules/distribution/tests/FakeMesh.h
+++ b/modules/distribution/tests/FakeMesh.h
@@ -20,7 +20,7 @@
 {
   std::vector<std::string> m_config;
   std::vector<std::string> m_checkpoints;
-  std::vector<DirectoryEntry> m_directory;
+  std::map<std::string, DirectoryEntry> m_directory;
   /// Offsets below this one have expired.
   std::uint64_t m_first = 0;
   bool m_outage = false;
--- a/modules/net/src/HttpClient.cpp
+++ b/modules/net/src/HttpClient.cpp
@@ -1,8 +1,13 @@
 #include "HttpClient.h"
 
+#include "Clock.h"
+#include "SocketOptions.h"
+
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
+#include <boost/beast/core/ostream.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
 #include <chrono>
 #include <vector>
 
@@ -12,19 +17,30 @@
 
 namespace {
 
+constexpr Milliseconds kSecondMs = 1000;
+// A connection is given up this long before the server's stated idle timeout.
+constexpr Milliseconds kIdleMarginMs = 1000;
+constexpr std::int64_t kSilenceMs = 3000;
+
 // A connection and what was read past the last response.
 struct PooledConnection
 {
   explicit PooledConnection(asio::io_context& aContext)
-    : m_stream(aContext)
+    : m_socket(aContext)
+    , m_timer(aContext)
   {
   }
 
-  beast::tcp_stream m_stream;
+  tcp::socket m_socket;
+  asio::steady_timer m_timer;
   beast::flat_buffer m_buffer;
+  std::string m_unsent;
+  bool m_writing = false;
+  bool m_timedOut = false;
+  Instant m_useUntil;
 };
 
-using PooledPtr = std::unique_ptr<PooledConnection>;
+using PooledPtr = std::shared_ptr<PooledConnection>;
 
 } // namespace
 
@@ -43,16 +59,60 @@
 
 namespace {
 
-// An idle connection that the server closed becomes readable: it must not carry a request, since
-// a failure then could not be told from one after the request was run.
+void
+Close(PooledConnection& aConnection)
+{
+  error_code ignored;
+  aConnection.m_timer.cancel();
+  aConnection.m_socket.close(ignored);
+}
+
+// Closes the connection unless it went back to the pool, however the coroutine ends.
+struct CloseGuard
+{
+  PooledPtr m_connection;
+  bool m_kept = false;
+
+  explicit CloseGuard(PooledPtr aConnection)
+    : m_connection(std::move(aConnection))
+  {
+  }
+  ~CloseGuard()
+  {
+    if (!m_kept) {
+      Close(*m_connection);
+    }
+  }
+  CloseGuard(const CloseGuard&) = delete;
+  CloseGuard& operator=(const CloseGuard&) = delete;
+};
+
+void
+CloseAfter(const PooledPtr& aConnection, Milliseconds aDelayMs)
+{
+  aConnection->m_timedOut = false;
+  aConnection->m_timer.expires_after(std::chrono::milliseconds(aDelayMs));
+  aConnection->m_timer.async_wait([weak = std::weak_ptr(aConnection)](const error_code& aError) {
+    const PooledPtr connection = weak.lock();
+    if (!aError && connection) {
+      connection->m_timedOut = true;
+      Close(*connection);
+    }
+  });
+}
+
+// An idle connection that the server closed, or sent bytes on that nobody asked for, becomes
+// readable: it must not carry a request, since a failure then could not be told from one after the
+// request was run.
 bool
 IsUsable(PooledConnection& aConnection)
 {
-  tcp::socket& socket = aConnection.m_stream.socket();
+  if (Clock::Now() >= aConnection.m_useUntil) {
+    return false;
+  }
   error_code error;
-  socket.non_blocking(true, error);
   char byte = 0;
-  socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
+  aConnection.m_socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, error);
   return error == asio::error::would_block;
 }
 
@@ -65,14 +125,98 @@
     if (IsUsable(*connection)) {
       return connection;
     }
+    Close(*connection);
   }
   return nullptr;
 }
 
+// How long the connection may lie idle by the Keep-Alive header.
+Milliseconds
+IdleTime(const HttpResponse& aResponse, Milliseconds aDefault)
+{
+  const std::string_view text = aResponse[http::field::keep_alive];
+  const std::size_t at = text.find("timeout=");
+  if (at == std::string_view::npos) {
+    return aDefault;
+  }
+  const std::string_view digits = text.substr(at + std::string_view("timeout=").size());
+  Milliseconds seconds = 0;
+  std::from_chars(digits.data(), digits.data() + digits.size(), seconds);
+  return std::max<Milliseconds>(0, seconds * kSecondMs - kIdleMarginMs);
+}
+
 HttpResult
-Failed(HttpFailure aFailure, const error_code& aError)
+Failed(HttpFailure aFailure, std::string aReason)
 {
-  return { .m_response = std::nullopt, .m_failure = aFailure, .m_reason = aError.message() };
+  return { .m_response = std::nullopt, .m_failure = aFailure, .m_reason = std::move(aReason) };
+}
+
+std::string
+Serialize(const HttpRequest& aRequest)
+{
+  std::string text;
+  http::request<http::empty_body> header(aRequest.base());
+  beast::flat_buffer buffer;
+  beast::ostream(buffer) << header;
+  text.assign(static_cast<const char*>(buffer.data().data()), buffer.size());
+  text += aRequest.body();
+  return text;
+}
+
+Awaitable<void>
+WriteRest(PooledPtr aConnection, std::size_t aFrom)
+{
+  const auto rest = asio::buffer(aConnection->m_unsent) + aFrom;
+  const auto [error, size] = co_await asio::async_write(aConnection->m_socket, rest, kAsTuple);
+  aConnection->m_writing = static_cast<bool>(error);
+}
+
+// Sends what the socket takes at once and the rest beside the read: the server may answer before
+// it has read everything.
+error_code
+StartWrite(HttpClientState& aState, const PooledPtr& aConnection, const HttpRequest& aRequest)
+{
+  aConnection->m_unsent = Serialize(aRequest);
+  error_code error;
+  const std::size_t sent =
+    aConnection->m_socket.write_some(asio::buffer(aConnection->m_unsent), error);
+  if (error && error != asio::error::would_block) {
+    return error;
+  }
+  aConnection->m_writing = sent < aConnection->m_unsent.size();
+  if (aConnection->m_writing) {
+    asio::co_spawn(aState.m_context, WriteRest(aConnection, sent), asio::detached);
+  }
+  return {};
+}
+
+Awaitable<error_code>
+Connect(HttpClientState& aState, PooledPtr aConnection, Milliseconds aTimeoutMs)
+{
+  CloseAfter(aConnection, std::min<Milliseconds>(aState.m_options.m_connectMs, aTimeoutMs));
+  const auto [error] =
+    co_await aConnection->m_socket.async_connect(aState.m_options.m_endpoint, kAsTuple);
+  if (error) {
+    co_return error;
+  }
+  error_code ignored;
+  SetLiveness(aConnection->m_socket, kSilenceMs);
+  aConnection->m_socket.non_blocking(true, ignored);
+  co_return error_code();
+}
+
+void
+Keep(HttpClientState& aState, CloseGuard& aGuard, const HttpResponse& aResponse)
+{
+  PooledConnection& connection = *aGuard.m_connection;
+  const bool clean = connection.m_buffer.size() == 0 && !connection.m_writing;
+  if (!clean || !aResponse.keep_alive() || aState.m_idle.size() >= aState.m_options.m_maxIdle) {
+    return;
+  }
+  connection.m_timer.cancel();
+  connection.m_useUntil = Clock::Now() + IdleTime(aResponse, aState.m_options.m_idleMs);
+  aState.m_idle.push_back(aGuard.m_connection);
+  aGuard.m_kept = true;
 }
 
 } // namespace
@@ -82,31 +226,35 @@
 {
 }
 
-HttpClient::~HttpClient() = default;
+HttpClient::~HttpClient()
+{
+  for (const PooledPtr& connection : m_state->m_idle) {
+    Close(*connection);
+  }
+  m_state->m_idle.clear();
+}
 
 Awaitable<HttpResult>
-HttpClient::Send(HttpRequest aRequest, std::int64_t aTimeoutMs)
+HttpClient::Send(HttpRequest aRequest, std::int64_t aTimeoutMs, Belongs aBelongs)
 {
   const std::shared_ptr<HttpClientState> state = m_state;
-  const auto deadline = std::chrono::steady_clock::now() + std::chrono::milliseconds(aTimeoutMs);
+  const Instant deadline = Clock::Now() + aTimeoutMs;
   PooledPtr connection = TakeIdle(*state);
-  if (!connection) {
-    connection = std::make_unique<PooledConnection>(state->m_context);
-    const auto connectMs = std::min(state->m_options.m_connectMs, aTimeoutMs);
-    connection->m_stream.expires_after(std::chrono::milliseconds(connectMs));
-    const auto [error] =
-      co_await connection->m_stream.async_connect(state->m_options.m_endpoint, kAsTuple);
+  const bool reused = connection != nullptr;
+  if (!reused) {
+    connection = std::make_shared<PooledConnection>(state->m_context);
+  }
+  CloseGuard guard(connection);
+  if (!reused) {
+    const error_code error = co_await Connect(*state, connection, aTimeoutMs);
     if (error) {
-      co_return Failed(HttpFailure::NotSent, error);
+      co_return Failed(HttpFailure::NotSent, error.message());
     }
-    error_code ignored;
-    connection->m_stream.socket().set_option(tcp::no_delay(true), ignored);
   }
-  connection->m_stream.expires_at(deadline);
-  const auto [writeError, written] =
-    co_await http::async_write(connection->m_stream, aRequest, kAsTuple);
+  CloseAfter(connection, std::max<Milliseconds>(1, deadline - Clock::Now()));
+  const error_code writeError = StartWrite(*state, connection, aRequest);
   if (writeError) {
-    co_return Failed(HttpFailure::MaybeSent, writeError);
+    co_return Failed(HttpFailure::MaybeSent, writeError.message());
   }
   http::response_parser<http::string_body> parser;
   parser.body_limit(state->m_options.m_maxBodyBytes);
@@ -114,17 +262,23 @@
     parser.skip(true);
   }
   const auto [readError, size] =
-    co_await http::async_read(connection->m_stream, connection->m_buffer, parser, kAsTuple);
+    co_await http::async_read(connection->m_socket, connection->m_buffer, parser, kAsTuple);
+  HttpResult result;
+  result.m_reused = reused;
   if (readError) {
-    const auto failure = parser.got_some() ? HttpFailure::BadResponse : HttpFailure::MaybeSent;
-    co_return Failed(failure, readError);
+    result.m_failure = parser.got_some() ? HttpFailure::BadResponse : HttpFailure::MaybeSent;
+    result.m_failure = connection->m_timedOut ? HttpFailure::TimedOut : result.m_failure;
+    result.m_reason = connection->m_timedOut ? "no whole response in time" : readError.message();
+    co_return result;
   }
-  HttpResult result;
-  result.m_response = parser.release();
-  if (result.m_response->keep_alive() && state->m_idle.size() < state->m_options.m_maxIdle) {
-    connection->m_stream.expires_never();
-    state->m_idle.push_back(std::move(connection));
+  HttpResponse response = parser.release();
+  if (aBelongs && !aBelongs(response)) {
+    result.m_failure = HttpFailure::BadResponse;
+    result.m_reason = "the response is not the request's own";
+    co_return result;
   }
+  Keep(*state, guard, response);
+  result.m_response = std::move(response);
   co_return result;
 }
 
--- a/modules/net/src/HttpServer.cpp
+++ b/modules/net/src/HttpServer.cpp
@@ -2,16 +2,18 @@
 
 #include "Acceptor.h"
 #include "Address.h"
+#include "Clock.h"
 #include "Log.h"
 
-#include <boost/asio/experimental/awaitable_operators.hpp>
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/cancellation_signal.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
-#include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
-#include <fmt/core.h>
-#include <list>
+#include <deque>
 #include <optional>
+#include <set>
 
 namespace sequoiastep::net {
 
@@ -19,7 +21,76 @@
 
 namespace {
 
-constexpr std::int64_t kAcceptPauseMs = 50;
+constexpr Milliseconds kAcceptPauseMs = 50;
+constexpr Milliseconds kSweepMs = 250;
+// How long the client may take to notice that the connection ends.
+constexpr Milliseconds kLingerMs = 1000;
+constexpr std::size_t kMostPipelined = 32;
+constexpr std::size_t kReadBytes = 4096;
+constexpr std::string_view kContinue = "HTTP/1.1 100 Continue\r\n\r\n";
+
+// One request and its answer, in the order of arrival.
+struct Exchange
+{
+  std::optional<HttpResponse> m_response;
+  bool m_clientKeeps = true;
+  asio::cancellation_signal m_cancel;
+};
+
+using ExchangePtr = std::shared_ptr<Exchange>;
+
+// A timer that never fires by itself: coroutines wait for its cancellation.
+struct Wakeup
+{
+  explicit Wakeup(const asio::any_io_executor& aExecutor)
+    : m_timer(aExecutor, std::chrono::steady_clock::time_point::max())
+  {
+  }
+
+  Awaitable<void> Wait() { co_await m_timer.async_wait(kAsTuple); }
+  void Wake() { m_timer.cancel(); }
+
+  asio::steady_timer m_timer;
+};
+
+struct Connection
+{
+  explicit Connection(tcp::socket aSocket)
+    : m_socket(std::move(aSocket))
+    , m_answered(m_socket.get_executor())
+    , m_room(m_socket.get_executor())
+  {
+  }
+
+  tcp::socket m_socket;
+  beast::flat_buffer m_buffer;
+  std::deque<ExchangePtr> m_exchanges;
+  /// Wakes the writer: the first exchange may have its answer.
+  Wakeup m_answered;
+  /// Wakes the reader: an exchange ended.
+  Wakeup m_room;
+  /// After these the connection is cut.
+  std::optional<Instant> m_readBy;
+  std::optional<Instant> m_writeBy;
+  /// No byte of a next request came yet.
+  bool m_betweenRequests = true;
+  /// The last response said that the connection ends; what was read after it is not run.
+  bool m_closing = false;
+  bool m_readerDone = false;
+  bool m_gone = false;
+};
+
+using ConnectionPtr = std::shared_ptr<Connection>;
+
+void
+Cut(Connection& aConnection)
+{
+  error_code ignored;
+  aConnection.m_gone = true;
+  aConnection.m_socket.close(ignored);
+  aConnection.m_answered.Wake();
+  aConnection.m_room.Wake();
+}
 
 } // namespace
 
@@ -42,50 +113,17 @@
   HttpLimits m_limits;
   HttpHandler m_handler;
   HttpErrorBody m_errorBody;
+  HttpOverlap m_mayOverlap;
+  std::set<ConnectionPtr> m_open;
+  bool m_ending = false;
   bool m_stopping = false;
-  /// Connections that wait for a request, closed at once by StopAccepting.
-  std::list<beast::tcp_stream*> m_idle;
-  std::list<beast::tcp_stream*> m_open;
+  bool m_sweeping = false;
 };
 
 namespace {
 
 using StatePtr = std::shared_ptr<HttpServerState>;
 
-// Ends when the client closes its side; never while it only sends more bytes.
-Awaitable<void>
-WaitForClose(beast::tcp_stream& aStream)
-{
-  tcp::socket& socket = aStream.socket();
-  for (;;) {
-    const auto [waitError] = co_await socket.async_wait(tcp::socket::wait_read, kAsTuple);
-    if (waitError) {
-      co_return;
-    }
-    char byte = 0;
-    error_code peekError;
-    const std::size_t size =
-      socket.receive(asio::buffer(&byte, 1), tcp::socket::message_peek, peekError);
-    if (size == 0 || peekError) {
-      co_return;
-    }
-    // A pipelined request waits; look again later whether the client is still there.
-    asio::steady_timer pause(socket.get_executor(), std::chrono::milliseconds(kAcceptPauseMs));
-    co_await pause.async_wait(kAsTuple);
-  }
-}
-
-Awaitable<std::optional<HttpResponse>>
-RunHandler(const StatePtr& aState, beast::tcp_stream& aStream, HttpRequest aRequest)
-{
-  using namespace asio::experimental::awaitable_operators;
-  auto result = co_await (aState->m_handler(std::move(aRequest)) || WaitForClose(aStream));
-  if (result.index() == 1) {
-    co_return std::nullopt;
-  }
-  co_return std::optional<HttpResponse>(std::move(std::get<0>(result)));
-}
-
 http::status
 StatusForReadError(const error_code& aError)
 {
@@ -98,75 +136,254 @@
   return http::status::bad_request;
 }
 
+// Errors of the request itself, as against those of the connection.
 bool
-IsSilentEnd(const error_code& aError)
+IsBadRequest(const error_code& aError)
+{
+  return aError.category() == http::make_error_code(http::error::bad_method).category() &&
+         aError != http::error::end_of_stream && aError != http::error::partial_message;
+}
+
+void
+Answer(Connection& aConnection, Exchange& aExchange, HttpResponse aResponse)
+{
+  aExchange.m_response = std::move(aResponse);
+  aConnection.m_answered.Wake();
+}
+
+void
+StartHandler(const StatePtr& aState,
+             const ConnectionPtr& aConnection,
+             const ExchangePtr& aExchange,
+             HttpRequest aRequest)
 {
-  return aError == http::error::end_of_stream || aError == beast::error::timeout ||
-         aError == asio::error::connection_reset || aError == asio::error::operation_aborted ||
-         aError == asio::error::eof;
+  asio::co_spawn(
+    aState->m_context,
+    aState->m_handler(std::move(aRequest)),
+    asio::bind_cancellation_slot(
+      aExchange->m_cancel.slot(),
+      [aState, aConnection, aExchange](const std::exception_ptr& aFailure, HttpResponse aResponse) {
+        if (aFailure) {
+          aResponse = aState->m_errorBody(http::status::bad_gateway, "the call was broken off");
+        }
+        Answer(*aConnection, *aExchange, std::move(aResponse));
+      }));
 }
 
+// Reads more bytes of a request, or notices that the client left.
 Awaitable<bool>
-SendResponse(const StatePtr& aState, beast::tcp_stream& aStream, HttpResponse aResponse)
+AwaitFirstByte(const StatePtr& aState, Connection& aConnection)
 {
-  aStream.expires_after(std::chrono::milliseconds(aState->m_limits.m_transferMs));
-  const auto [error, size] = co_await http::async_write(aStream, aResponse, kAsTuple);
+  if (aConnection.m_buffer.size() > 0) {
+    co_return true;
+  }
+  aConnection.m_readBy = Clock::Now() + aState->m_limits.m_idleMs;
+  aConnection.m_betweenRequests = true;
+  const auto [error, size] = co_await aConnection.m_socket.async_read_some(
+    aConnection.m_buffer.prepare(kReadBytes), kAsTuple);
+  aConnection.m_buffer.commit(error ? 0 : size);
   co_return !error;
 }
 
-// Reads the next request. Gives nothing if the connection must end; a bad request was answered.
+Awaitable<void>
+SendContinue(Connection& aConnection, const HttpRequest& aRequest)
+{
+  if (aConnection.m_exchanges.empty() &&
+      beast::iequals(aRequest[http::field::expect], "100-continue")) {
+    co_await asio::async_write(aConnection.m_socket, asio::buffer(kContinue), kAsTuple);
+  }
+}
+
+// Gives nothing if the connection ended; aError tells whether the request was at fault.
 Awaitable<std::optional<HttpRequest>>
-ReadRequest(const StatePtr& aState, beast::tcp_stream& aStream, beast::flat_buffer& aBuffer)
+ReadRequest(const StatePtr& aState, Connection& aConnection, error_code& aError)
 {
+  const bool begun = co_await AwaitFirstByte(aState, aConnection);
+  if (!begun) {
+    co_return std::nullopt;
+  }
+  aConnection.m_betweenRequests = false;
   http::request_parser<http::string_body> parser;
   parser.header_limit(aState->m_limits.m_maxHeaderBytes);
   parser.body_limit(aState->m_limits.m_maxBodyBytes);
-  aStream.expires_after(std::chrono::milliseconds(aState->m_limits.m_idleMs));
-  const auto place = aState->m_idle.insert(aState->m_idle.end(), &aStream);
-  auto [error, size] = co_await http::async_read_header(aStream, aBuffer, parser, kAsTuple);
-  aState->m_idle.erase(place);
-  if (!error) {
-    aStream.expires_after(std::chrono::milliseconds(aState->m_limits.m_transferMs));
+  aConnection.m_readBy = Clock::Now() + aState->m_limits.m_headerMs;
+  auto [error, size] =
+    co_await http::async_read_header(aConnection.m_socket, aConnection.m_buffer, parser, kAsTuple);
+  if (!error && !parser.is_done()) {
+    aConnection.m_readBy = Clock::Now() + aState->m_limits.m_transferMs;
+    co_await SendContinue(aConnection, parser.get());
     const auto [bodyError, bodySize] =
-      co_await http::async_read(aStream, aBuffer, parser, kAsTuple);
+      co_await http::async_read(aConnection.m_socket, aConnection.m_buffer, parser, kAsTuple);
     error = bodyError;
   }
-  if (!error) {
-    co_return std::optional<HttpRequest>(parser.release());
+  aConnection.m_readBy.reset();
+  aError = error;
+  if (error) {
+    co_return std::nullopt;
   }
-  if (!IsSilentEnd(error)) {
-    HttpResponse response = aState->m_errorBody(StatusForReadError(error), error.message());
-    response.keep_alive(false);
-    co_await SendResponse(aState, aStream, std::move(response));
+  co_return std::optional<HttpRequest>(parser.release());
+}
+
+bool
+MayStart(const HttpServerState& aState, const Connection& aConnection, const HttpRequest& aRequest)
+{
+  if (aConnection.m_exchanges.empty()) {
+    return true;
+  }
+  return aConnection.m_exchanges.size() < kMostPipelined && aState.m_mayOverlap &&
+         aState.m_mayOverlap(aRequest);
+}
+
+// The client left: nobody waits for the answers.
+void
+CancelAll(Connection& aConnection)
+{
+  aConnection.m_gone = true;
+  const std::deque<ExchangePtr> exchanges = aConnection.m_exchanges;
+  for (const ExchangePtr& exchange : exchanges) {
+    exchange->m_cancel.emit(asio::cancellation_type::terminal);
   }
-  co_return std::nullopt;
+  aConnection.m_answered.Wake();
 }
 
 Awaitable<void>
-Serve(StatePtr aState, tcp::socket aSocket)
+ReadLoop(StatePtr aState, ConnectionPtr aConnection)
 {
-  beast::tcp_stream stream(std::move(aSocket));
-  const auto place = aState->m_open.insert(aState->m_open.end(), &stream);
-  beast::flat_buffer buffer;
-  bool keep = true;
-  while (keep) {
-    std::optional<HttpRequest> request = co_await ReadRequest(aState, stream, buffer);
+  Connection& connection = *aConnection;
+  while (!connection.m_closing && !connection.m_gone) {
+    error_code error;
+    std::optional<HttpRequest> request = co_await ReadRequest(aState, connection, error);
+    while (request && !connection.m_gone && !MayStart(*aState, connection, *request)) {
+      co_await connection.m_room.Wait();
+    }
+    if (connection.m_closing || connection.m_gone) {
+      break;
+    }
+    if (!request && !IsBadRequest(error)) {
+      CancelAll(connection);
+      break;
+    }
+    auto exchange = std::make_shared<Exchange>();
+    connection.m_exchanges.push_back(exchange);
     if (!request) {
+      exchange->m_clientKeeps = false;
+      Answer(
+        connection, *exchange, aState->m_errorBody(StatusForReadError(error), error.message()));
       break;
     }
-    const bool wantsKeep = request->keep_alive();
-    stream.expires_never();
-    std::optional<HttpResponse> response = co_await RunHandler(aState, stream, std::move(*request));
-    if (!response) {
+    exchange->m_clientKeeps = request->keep_alive();
+    const bool last = !exchange->m_clientKeeps;
+    StartHandler(aState, aConnection, exchange, std::move(*request));
+    if (last) {
       break;
     }
-    keep = wantsKeep && !aState->m_stopping && response->keep_alive();
-    response->keep_alive(keep);
-    keep = co_await SendResponse(aState, stream, std::move(*response)) && keep;
   }
+  connection.m_readerDone = true;
+  connection.m_answered.Wake();
+}
+
+// Whether the connection goes on after the first exchange's answer. While it ends, requests that
+// were read already are still answered.
+bool
+KeepsAfterFirst(const HttpServerState& aState, const Connection& aConnection)
+{
+  const Exchange& exchange = *aConnection.m_exchanges.front();
+  if (aConnection.m_exchanges.size() > 1) {
+    return true;
+  }
+  return exchange.m_clientKeeps && !aState.m_ending && exchange.m_response->keep_alive();
+}
+
+Awaitable<bool>
+WriteFirst(const StatePtr& aState, Connection& aConnection)
+{
+  const ExchangePtr exchange = aConnection.m_exchanges.front();
+  const bool keep = KeepsAfterFirst(*aState, aConnection);
+  exchange->m_response->keep_alive(keep);
+  aConnection.m_closing = !keep;
+  aConnection.m_writeBy = Clock::Now() + aState->m_limits.m_transferMs;
+  const auto [error, size] =
+    co_await http::async_write(aConnection.m_socket, *exchange->m_response, kAsTuple);
+  aConnection.m_writeBy.reset();
+  aConnection.m_exchanges.pop_front();
+  aConnection.m_room.Wake();
+  co_return !error && keep;
+}
+
+Awaitable<void>
+WriteLoop(const StatePtr& aState, Connection& aConnection)
+{
+  while (!aConnection.m_gone) {
+    if (aConnection.m_exchanges.empty() || !aConnection.m_exchanges.front()->m_response) {
+      if (aConnection.m_exchanges.empty() && (aConnection.m_readerDone || aConnection.m_closing)) {
+        co_return;
+      }
+      co_await aConnection.m_answered.Wait();
+      continue;
+    }
+    const bool keep = co_await WriteFirst(aState, aConnection);
+    if (!keep) {
+      co_return;
+    }
+  }
+}
+
+// Unread bytes would turn the close into a reset that destroys the last answer on its way.
+Awaitable<void>
+Linger(Connection& aConnection)
+{
   error_code ignored;
-  stream.socket().shutdown(tcp::socket::shutdown_send, ignored);
-  aState->m_open.erase(place);
+  aConnection.m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+  aConnection.m_readBy = Clock::Now() + kLingerMs;
+  while (!aConnection.m_readerDone && aConnection.m_socket.is_open()) {
+    co_await aConnection.m_answered.Wait();
+  }
+  std::array<char, kReadBytes> dropped{};
+  for (;;) {
+    const auto [error, size] =
+      co_await aConnection.m_socket.async_read_some(asio::buffer(dropped), kAsTuple);
+    if (error) {
+      co_return;
+    }
+  }
+}
+
+Awaitable<void>
+SweepLoop(StatePtr aState)
+{
+  while (!aState->m_open.empty()) {
+    asio::steady_timer timer(aState->m_context, std::chrono::milliseconds(kSweepMs));
+    co_await timer.async_wait(kAsTuple);
+    const Instant now = Clock::Now();
+    const std::set<ConnectionPtr> open = aState->m_open;
+    for (const ConnectionPtr& connection : open) {
+      const bool unread = connection->m_readBy && now >= *connection->m_readBy;
+      const bool unwritten = connection->m_writeBy && now >= *connection->m_writeBy;
+      const bool busy = connection->m_betweenRequests && !connection->m_exchanges.empty();
+      if (unwritten || (unread && !busy)) {
+        Cut(*connection);
+      }
+    }
+  }
+  aState->m_sweeping = false;
+}
+
+Awaitable<void>
+Serve(StatePtr aState, tcp::socket aSocket)
+{
+  const auto connection = std::make_shared<Connection>(std::move(aSocket));
+  aState->m_open.insert(connection);
+  if (!aState->m_sweeping) {
+    aState->m_sweeping = true;
+    asio::co_spawn(aState->m_context, SweepLoop(aState), asio::detached);
+  }
+  asio::co_spawn(aState->m_context, ReadLoop(aState, connection), asio::detached);
+  co_await WriteLoop(aState, *connection);
+  if (!connection->m_gone) {
+    co_await Linger(*connection);
+  }
+  Cut(*connection);
+  aState->m_open.erase(connection);
 }
 
 Awaitable<void>
@@ -212,14 +429,37 @@
   return bound;
 }
 
+void
+HttpServer::SetOverlap(HttpOverlap aMayOverlap)
+{
+  m_state->m_mayOverlap = std::move(aMayOverlap);
+}
+
+void
+HttpServer::SetLimits(const HttpLimits& aLimits)
+{
+  m_state->m_limits = aLimits;
+}
+
+void
+HttpServer::EndConnections()
+{
+  m_state->m_ending = true;
+}
+
 void
 HttpServer::StopAccepting()
 {
+  m_state->m_ending = true;
   m_state->m_stopping = true;
   error_code ignored;
   m_state->m_acceptor.close(ignored);
-  for (beast::tcp_stream* stream : m_state->m_idle) {
-    stream->socket().shutdown(tcp::socket::shutdown_both, ignored);
+  const std::set<ConnectionPtr> open = m_state->m_open;
+  for (const ConnectionPtr& connection : open) {
+    if (connection->m_exchanges.empty() && connection->m_betweenRequests) {
+      connection->m_closing = true;
+      connection->m_answered.Wake();
+    }
   }
 }
 
@@ -227,9 +467,9 @@
 HttpServer::CloseAll()
 {
   StopAccepting();
-  error_code ignored;
-  for (beast::tcp_stream* stream : m_state->m_open) {
-    stream->socket().shutdown(tcp::socket::shutdown_both, ignored);
+  const std::set<ConnectionPtr> open = m_state->m_open;
+  for (const ConnectionPtr& connection : open) {
+    Cut(*connection);
   }
 }
 
--- a/modules/node/include/Node.h
+++ b/modules/node/include/Node.h
@@ -5,11 +5,14 @@
 #include "Error.h"
 #include "Settings.h"
 
+#include <string>
+
 namespace sequoiastep::node {
 
+/// @param aPath file that the settings were read from; SIGHUP reads it again.
 /// Runs a node until SIGTERM, SIGINT or a drain request, and stops it gracefully.
 /// @return success once everything is closed, or PortInUse if a port could not be had.
 Result<void>
-RunNode(const Settings& aSettings);
+RunNode(const Settings& aSettings, const std::string& aPath);
 
 } // namespace sequoiastep::node
--- a/modules/node/include/Settings.h
+++ b/modules/node/include/Settings.h
@@ -35,7 +35,7 @@
   std::uint64_t m_joinWaitMs = 2000;
   std::uint64_t m_publishWaitMs = 2500;
   std::uint64_t m_checkpointEveryMs = 300'000;
-  std::uint64_t m_directoryEveryMs = 60'000;
+  std::uint64_t m_directoryEveryMs = 43'200'000;
   std::uint64_t m_logWaitMs = 2000;
   /// Longest hold of a call whose version this node does not have yet.
   std::uint64_t m_versionHoldMs = 200;
@@ -43,6 +43,8 @@
   std::uint64_t m_drainMs = 10'000;
   /// Time between announcing that the node leaves and refusing work, so that peers learn it.
   std::uint64_t m_drainNoticeMs = 500;
+  /// Time between a stop request and refusing callers, so that they learn to go elsewhere.
+  std::uint64_t m_callerNoticeMs = 500;
 };
 
 /// Sizes of the link graph.
@@ -52,6 +54,18 @@
   std::uint64_t m_chords = 2;
 };
 
+/// What all nodes together may spend on repeats to one service.
+struct Retries
+{
+  /// Repeats for each request.
+  double m_ratio = 0.2;
+  /// Repeats in a window besides, over all nodes.
+  double m_extra = 60;
+  /// Share of both that is spent, since nodes know each other's requests only roughly.
+  double m_share = 0.6;
+  std::uint64_t m_windowMs = 10'000;
+};
+
 /// All settings of a node. Addresses are IP:PORT.
 struct Settings
 {
@@ -61,18 +75,23 @@
   std::string m_failureDomain;
   std::string m_callerListen;
   std::string m_targetListen;
+  /// Service of the host, told to targets as the caller's; not told if empty.
+  std::string m_targetService;
   std::string m_adminListen;
   /// Bearer token for admin requests that change state; none is asked for if empty.
   std::string m_adminToken;
   std::string m_peerListen;
   std::vector<std::string> m_peerHints;
   std::string m_platformLog;
+  /// The configuration is the operator's record in the platform's store, not publications.
+  bool m_operatorRecord = false;
   /// Share of calls that are traced if the caller does not say.
   double m_traceSample = 0;
   LogLevel m_logLevel = LogLevel::Info;
   Limits m_limits;
   Timings m_timings;
   Links m_links;
+  Retries m_retries;
 };
 
 /// Parses and checks the text of a settings file.
--- a/modules/node/src/AdminApi.cpp
+++ b/modules/node/src/AdminApi.cpp
@@ -2,6 +2,7 @@
 
 #include "ControlDuty.h"
 #include "Metrics.h"
+#include "Names.h"
 #include "Problem.h"
 #include "Trace.h"
 
@@ -246,6 +247,11 @@
     m_hooks.m_drain();
     co_return JsonResponse(http::status::ok, { { "draining", true } });
   }
+  if (reads && (path == adapter::kReadyPath || path == "/admin/v1/ready")) {
+    const bool ready = m_duty.TakesCalls();
+    co_return JsonResponse(ready ? http::status::ok : http::status::service_unavailable,
+                           { { "ready", ready } });
+  }
   if (reads && path == "/admin/v1/config") {
     co_return GetConfig(aRequest);
   }
--- a/modules/node/src/CallsDuty.cpp
+++ b/modules/node/src/CallsDuty.cpp
@@ -2,12 +2,9 @@
 
 #include "Address.h"
 #include "CallsDutyPriv.h"
-#include "Headers.h"
 #include "Log.h"
 #include "Problem.h"
 
-#include <boost/beast/http/field.hpp>
-#include <charconv>
 #include <chrono>
 #include <fmt/core.h>
 
@@ -20,45 +17,22 @@
 using net::HttpRequest;
 using net::HttpResponse;
 using net::kAsTuple;
-using routing::AttemptOutcome;
 using wire::AnswerT;
 using wire::CallOutcome;
-using wire::CallT;
 
 namespace {
 
-constexpr Milliseconds kTickMs = 10;
+constexpr Milliseconds kBusyTickMs = 20;
+constexpr Milliseconds kTickMs = 100;
 constexpr Milliseconds kHoldStepMs = 5;
 constexpr Milliseconds kStaleControlMs = 1500;
 constexpr Milliseconds kMostStaleHoldMs = 3000;
-// The node beside the target keeps the deadline itself; its answer is truer than a timeout here.
-constexpr Milliseconds kAnswerGraceMs = 30;
-constexpr std::uint32_t kCloseIdleTicks = 1000;
+constexpr Milliseconds kCloseIdleMs = 10'000;
 constexpr std::string_view kReservedPrefix = "/.sequoiastep/";
 constexpr std::string_view kKeysPath = "/.sequoiastep/v1/keys";
 
-std::optional<std::uint64_t>
-NumberHeader(const HttpRequest& aRequest, std::string_view aName)
-{
-  const std::string_view text = aRequest[std::string(aName)];
-  std::uint64_t number = 0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
-  if (text.empty() || error != std::errc() || end != text.data() + text.size()) {
-    return std::nullopt;
-  }
-  return number;
-}
-
 } // namespace
 
-struct CallJob
-{
-  CallT m_call;
-  bool m_crossRegion = true;
-  config::Repeat m_repeat = config::Repeat::Never;
-  Instant m_deadline;
-};
-
 CallsDuty::CallsDuty(asio::io_context& aContext,
                      const Settings& aSettings,
                      const Identity& aIdentity,
@@ -71,14 +45,14 @@
   , m_notify(std::move(aNotify))
   , m_random{ EntropySeed() }
   , m_runner(aContext, aShared)
-  , m_targetApi([this](const std::optional<TargetAnnouncement>& aTarget) {
+  , m_targetApi([this](const std::optional<routing::TargetReport>& aTarget) {
     distribution::TargetChanged change;
     if (aTarget) {
       m_runner.SetTarget(*aTarget);
       change = { .m_service = aTarget->m_service,
                  .m_slots = aTarget->m_slots,
                  .m_warmUpMs = aTarget->m_warmUpMs,
-                 .m_draining = aTarget->m_draining };
+                 .m_draining = aTarget->m_leaving };
     } else {
       m_runner.LoseTarget();
     }
@@ -111,6 +85,7 @@
       MakeBadRequest)
   , m_latency(accumulators::extended_p_square_probabilities = kLatencyQuantiles)
 {
+  m_callerServer.SetOverlap([this](const HttpRequest& aRequest) { return MayOverlap(aRequest); });
 }
 
 void
@@ -141,19 +116,41 @@
 Awaitable<void>
 CallsDuty::TickLoop()
 {
-  std::uint32_t ticks = 0;
+  Instant nextCloseIdle = Clock::Now() + kCloseIdleMs;
   while (!m_stopped) {
-    asio::steady_timer timer(m_context, std::chrono::milliseconds(kTickMs));
+    const Milliseconds pause = m_runner.Outstanding() > 0 ? kBusyTickMs : kTickMs;
+    asio::steady_timer timer(m_context, std::chrono::milliseconds(pause));
     co_await timer.async_wait(kAsTuple);
     m_runner.Review();
     m_targetApi.Review(Clock::Now());
+    ApplyCallerLimits();
     const auto view = m_shared.m_view.load();
-    if (++ticks % kCloseIdleTicks == 0 && view) {
+    if (Clock::Now() >= nextCloseIdle && view) {
       m_links.CloseIdle(*view);
+      nextCloseIdle = Clock::Now() + kCloseIdleMs;
     }
   }
 }
 
+// Callers are bound by the configuration's limits where it has any, else by the node's settings.
+void
+CallsDuty::ApplyCallerLimits()
+{
+  const auto snapshot = m_shared.m_snapshot.load();
+  if (!snapshot || snapshot->m_version == m_limitsVersion ||
+      !snapshot->m_effective->m_callerLimits) {
+    return;
+  }
+  m_limitsVersion = snapshot->m_version;
+  const config::CallerLimits& limits = *snapshot->m_effective->m_callerLimits;
+  m_callerServer.SetLimits(
+    { .m_maxHeaderBytes = static_cast<std::uint32_t>(limits.m_maxHeaderBytes),
+      .m_maxBodyBytes = limits.m_maxBodyBytes,
+      .m_idleMs = static_cast<std::int64_t>(limits.m_idleTimeoutMs),
+      .m_headerMs = static_cast<std::int64_t>(limits.m_headerTimeoutMs),
+      .m_maxConnections = m_settings.m_limits.m_maxConnections });
+}
+
 Awaitable<HttpResponse>
 CallsDuty::HandleCaller(HttpRequest aRequest)
 {
@@ -167,9 +164,6 @@
   }
   const InProgress progress(m_active);
   HttpResponse response = co_await Enter(std::move(aRequest));
-  if (m_draining) {
-    response.keep_alive(false);
-  }
   co_return response;
 }
 
@@ -232,200 +226,6 @@
   co_return response;
 }
 
-CallJob
-CallsDuty::MakeJob(const HttpRequest& aRequest,
-                   const config::Snapshot& aSnapshot,
-                   const config::Route& aRoute)
-{
-  const config::Cluster& cluster = aSnapshot.m_effective->m_clusters.find(aRoute.m_cluster)->second;
-  const std::uint64_t asked =
-    NumberHeader(aRequest, "Sequoiastep-Timeout-Ms").value_or(aRoute.m_timeoutMs);
-  const std::uint64_t timeoutMs = std::min<std::uint64_t>(asked, aRoute.m_timeoutMs);
-  const TraceContext trace = ParseTraceparent(aRequest["traceparent"])
-                               .value_or(StartTrace(m_random, m_settings.m_traceSample));
-  CallJob job;
-  job.m_crossRegion = cluster.m_crossRegion;
-  job.m_repeat = aRoute.m_repeat;
-  job.m_deadline = Clock::Now() + static_cast<Milliseconds>(timeoutMs);
-  job.m_call.service = cluster.m_service;
-  job.m_call.method = aRequest.method_string();
-  job.m_call.target = aRequest.target();
-  job.m_call.headers = EndToEndHeaders(aRequest);
-  job.m_call.body.assign(aRequest.body().begin(), aRequest.body().end());
-  job.m_call.version = aSnapshot.m_version;
-  job.m_call.trace_high = trace.m_traceHigh;
-  job.m_call.trace_low = trace.m_traceLow;
-  job.m_call.parent_span = trace.m_parent;
-  job.m_call.sampled = trace.m_sampled;
-  return job;
-}
-
-Awaitable<HttpResponse>
-CallsDuty::Route(HttpRequest aRequest)
-{
-  co_await HoldWhileStale();
-  if (!m_shared.m_ready.load()) {
-    CountOutcome(CallOutcome::NotRun);
-    co_return MakeProblem(http::status::service_unavailable,
-                          CallOutcome::NotRun,
-                          "this node is not ready yet; try another node or later");
-  }
-  if (const auto wanted = NumberHeader(aRequest, "Sequoiastep-Version")) {
-    co_await HoldForVersion(*wanted);
-  }
-  // One snapshot from here to the end of the call.
-  const std::shared_ptr<const config::Snapshot> snapshot = m_shared.m_snapshot.load();
-  const config::Effective& effective = *snapshot->m_effective;
-  const config::Route* route =
-    config::FindRoute(effective, aRequest.method_string(), net::PathOf(aRequest.target()));
-  if (route == nullptr) {
-    CountOutcome(CallOutcome::NotRun);
-    co_return MakeProblem(
-      http::status::not_found,
-      CallOutcome::NotRun,
-      fmt::format("version {} has no route for this path and method", snapshot->m_version));
-  }
-  CallJob job = MakeJob(aRequest, *snapshot, *route);
-  HttpResponse response = co_await RunJob(std::move(job));
-  response.set("Sequoiastep-Version", std::to_string(snapshot->m_version));
-  co_return response;
-}
-
-Awaitable<AnswerT>
-CallsDuty::Attempt(const CallJob& aJob, const routing::Candidate& aTarget)
-{
-  CallT call = aJob.m_call;
-  const Milliseconds left = std::max<Milliseconds>(1, aJob.m_deadline - Clock::Now());
-  call.timeout_ms = static_cast<std::uint32_t>(left);
-  if (aTarget.m_node == m_identity.m_node) {
-    co_return co_await m_runner.Run(std::move(call), m_identity.m_node);
-  }
-  const bool foreign = aTarget.m_region != m_identity.m_region;
-  const std::size_t sentBytes = call.body.size();
-  CallReply reply = co_await m_links.Call(
-    aTarget.m_node, aTarget.m_address, std::move(call), left + kAnswerGraceMs);
-  if (foreign) {
-    m_shared.m_calls.m_crossRegionBytes.fetch_add(sentBytes + reply.m_answer.body.size());
-  }
-  AnswerT answer;
-  switch (reply.m_kind) {
-    case CallReply::Kind::Answered:
-      co_return std::move(reply.m_answer);
-    case CallReply::Kind::NotSent:
-      answer.outcome = CallOutcome::NotRun;
-      answer.reason = "the node beside the target can't be reached";
-      break;
-    case CallReply::Kind::LinkBroken:
-      answer.outcome = CallOutcome::Unknown;
-      answer.reason = "the link to the node beside the target broke after the call was sent";
-      break;
-    case CallReply::Kind::TimedOut:
-      answer.outcome = CallOutcome::Unknown;
-      answer.reason = "no answer came within the deadline";
-      break;
-  }
-  co_return answer;
-}
-
-AttemptOutcome
-CallsDuty::Judge(const AnswerT& aAnswer, const std::string& aNode, std::int64_t aElapsedUs)
-{
-  const Instant now = Clock::Now();
-  if (aAnswer.outcome == CallOutcome::Done) {
-    routing::NoteAnswer(m_picks, aNode, aElapsedUs, aAnswer.outstanding, now);
-    return AttemptOutcome::Done;
-  }
-  if (aAnswer.overloaded) {
-    routing::NoteOverload(m_picks, aNode, aAnswer.outstanding, now);
-    return AttemptOutcome::Overloaded;
-  }
-  routing::NoteFailure(m_picks, aNode, now, m_random);
-  return aAnswer.outcome == CallOutcome::NotRun ? AttemptOutcome::NotRun : AttemptOutcome::Unknown;
-}
-
-std::optional<routing::Candidate>
-CallsDuty::PickTarget(const CallJob& aJob, const std::set<std::string, std::less<>>& aTried)
-{
-  const auto view = m_shared.m_view.load();
-  const auto service = view->m_services.find(aJob.m_call.service);
-  if (service == view->m_services.end()) {
-    return std::nullopt;
-  }
-  const auto picked = routing::Pick(service->second,
-                                    m_picks,
-                                    { .m_region = m_identity.m_region,
-                                      .m_failureDomain = m_identity.m_failureDomain,
-                                      .m_crossRegion = aJob.m_crossRegion,
-                                      .m_tried = &aTried },
-                                    Clock::Now(),
-                                    m_random);
-  return picked ? std::optional(service->second[*picked]) : std::nullopt;
-}
-
-// One attempt, with what it shows of the target noted however it ends.
-Awaitable<AttemptOutcome>
-CallsDuty::TryTarget(const CallJob& aJob, const routing::Candidate& aTarget, AnswerT& aAnswer)
-{
-  struct Abandon
-  {
-    routing::PickState& m_picks;
-    const std::string& m_node;
-    bool m_judged = false;
-    ~Abandon()
-    {
-      if (!m_judged) {
-        routing::NoteAbandoned(m_picks, m_node);
-      }
-    }
-  };
-  const std::int64_t startUs = Clock::NowMicroseconds();
-  routing::NoteDispatch(m_picks, aTarget.m_node);
-  Abandon abandon{ .m_picks = m_picks, .m_node = aTarget.m_node };
-  aAnswer = co_await Attempt(aJob, aTarget);
-  abandon.m_judged = true;
-  co_return Judge(aAnswer, aTarget.m_node, Clock::NowMicroseconds() - startUs);
-}
-
-void
-CallsDuty::NoteLatency(std::int64_t aElapsedUs)
-{
-  m_latency(static_cast<double>(aElapsedUs));
-  ++m_latencyCount;
-  m_latencySumUs += static_cast<double>(aElapsedUs);
-}
-
-Awaitable<HttpResponse>
-CallsDuty::RunJob(CallJob aJob)
-{
-  const Span span(TraceOf(aJob.m_call), "route", m_random);
-  aJob.m_call.parent_span = span.Context().m_parent;
-  routing::RetryBudget& budget = m_budgets[aJob.m_call.service];
-  routing::EarnRetry(budget);
-  std::set<std::string, std::less<>> tried;
-  AnswerT answer;
-  answer.outcome = CallOutcome::NotRun;
-  answer.reason = "the service has no target now";
-  std::string lastNode;
-  routing::RetryQuestion question{ .m_repeat = aJob.m_repeat, .m_attempts = 0 };
-  do {
-    const auto target = PickTarget(aJob, tried);
-    if (!target) {
-      break;
-    }
-    if (question.m_attempts > 0) {
-      m_shared.m_calls.m_retries.fetch_add(1, std::memory_order_relaxed);
-    }
-    lastNode = target->m_node;
-    tried.insert(lastNode);
-    ++question.m_attempts;
-    question.m_outcome = co_await TryTarget(aJob, *target, answer);
-    question.m_leftMs = aJob.m_deadline - Clock::Now();
-  } while (routing::MayRetry(budget, question));
-  NoteLatency(span.ElapsedUs());
-  span.End(NameOf(answer.outcome), lastNode);
-  co_return Respond(answer);
-}
-
 void
 CallsDuty::CountOutcome(CallOutcome aOutcome)
 {
@@ -446,31 +246,21 @@
   }
 }
 
-HttpResponse
-CallsDuty::Respond(const AnswerT& aAnswer)
-{
-  CountOutcome(aAnswer.outcome);
-  if (aAnswer.outcome != CallOutcome::Done) {
-    const bool notRun = aAnswer.outcome == CallOutcome::NotRun;
-    const auto status = notRun ? http::status::service_unavailable : http::status::gateway_timeout;
-    const std::string detail =
-      aAnswer.reason + (notRun ? "; it is safe to send the request again"
-                               : "; it may have been run, ask the service before sending it again");
-    return MakeProblem(status, aAnswer.outcome, detail);
-  }
-  return ResponseFrom(aAnswer);
-}
-
 void
 CallsDuty::BeginDrain()
 {
-  m_draining = true;
+  m_callerServer.EndConnections();
 }
 
 void
 CallsDuty::StopTakingWork()
 {
   m_runner.StopTakingWork();
+}
+
+void
+CallsDuty::StopTakingCallers()
+{
   m_callerServer.StopAccepting();
 }
 
--- a/modules/node/src/CallsDuty.h
+++ b/modules/node/src/CallsDuty.h
@@ -16,6 +16,7 @@
 #include "TargetApi.h"
 #include "TargetRunner.h"
 #include "Trace.h"
+#include "Weights.h"
 
 #include <array>
 #include <boost/accumulators/accumulators.hpp>
@@ -61,8 +62,10 @@
   void TakeCallSocket(int aDescriptor, const wire::HelloT& aHello);
   /// First part of a stop: callers are asked to go elsewhere with each response.
   void BeginDrain();
-  /// Second part of a stop: no new work.
+  /// Second part of a stop: no new work for the target here.
   void StopTakingWork();
+  /// Third part of a stop: no new callers.
+  void StopTakingCallers();
   /// @return true if no call is in progress.
   bool IsIdle() const;
   void Stop();
@@ -92,9 +95,13 @@
   net::Awaitable<void> HoldWhileStale();
   net::Awaitable<void> HoldForVersion(std::uint64_t aVersion);
   net::Awaitable<wire::AnswerT> Attempt(const CallJob& aJob, const routing::Candidate& aTarget);
+  net::Awaitable<wire::AnswerT> RunHere(wire::CallT aCall);
   CallJob MakeJob(const net::HttpRequest& aRequest,
                   const config::Snapshot& aSnapshot,
                   const config::Route& aRoute);
+  routing::RetryBudget& BudgetOf(const std::string& aService);
+  bool MayOverlap(const net::HttpRequest& aRequest) const;
+  void ApplyCallerLimits();
   std::optional<routing::Candidate> PickTarget(const CallJob& aJob,
                                                const std::set<std::string, std::less<>>& aTried);
   net::Awaitable<routing::AttemptOutcome> TryTarget(const CallJob& aJob,
@@ -102,12 +109,14 @@
                                                     wire::AnswerT& aAnswer);
   net::Awaitable<net::HttpResponse> RunJob(CallJob aJob);
   void NoteLatency(std::int64_t aElapsedUs);
-  net::Awaitable<void> Serve(InboundPtr aInbound, wire::CallT aCall);
+  net::Awaitable<void> Serve(InboundPtr aInbound,
+                             wire::CallT aCall,
+                             std::shared_ptr<TargetRun> aRun);
   void Receive(const InboundPtr& aInbound, wire::EnvelopeT aMessage);
   routing::AttemptOutcome Judge(const wire::AnswerT& aAnswer,
                                 const std::string& aNode,
                                 std::int64_t aElapsedUs);
-  net::HttpResponse Respond(const wire::AnswerT& aAnswer);
+  net::HttpResponse Respond(const CallJob& aJob, const wire::AnswerT& aAnswer);
   void CountOutcome(wire::CallOutcome aOutcome);
   net::Awaitable<void> TickLoop();
 
@@ -126,13 +135,15 @@
   net::HttpServer m_targetServer;
   routing::PickState m_picks;
   std::map<std::string, routing::RetryBudget, std::less<>> m_budgets;
+  routing::WeightTurns m_weightTurns;
+  /// Version whose limits for callers are applied.
+  std::uint64_t m_limitsVersion = 0;
   std::set<InboundPtr> m_inbound;
   Latency m_latency;
   std::uint64_t m_latencyCount = 0;
   double m_latencySumUs = 0;
   std::uint32_t m_active = 0;
   std::uint32_t m_serving = 0;
-  bool m_draining = false;
   bool m_stopped = false;
 };
 
--- /dev/null
+++ b/modules/node/src/CallsDutyRoute.cpp
@@ -0,0 +1,457 @@
+// Calls that enter at this node: their route, the targets they are handed to, and what callers get.
+#include "Address.h"
+#include "CallsDuty.h"
+#include "CallsDutyPriv.h"
+#include "Headers.h"
+#include "Log.h"
+#include "Names.h"
+#include "Problem.h"
+
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/beast/http/field.hpp>
+#include <charconv>
+#include <chrono>
+#include <fmt/core.h>
+
+namespace sequoiastep::node {
+
+namespace asio = net::asio;
+namespace http = net::http;
+using net::Awaitable;
+using net::HttpRequest;
+using net::HttpResponse;
+using net::kAsTuple;
+using routing::AttemptOutcome;
+using routing::RetryVerdict;
+using wire::AnswerT;
+using wire::CallOutcome;
+using wire::CallT;
+
+namespace {
+
+// The node beside the target keeps the deadline itself; its answer is truer than a timeout here.
+constexpr Milliseconds kAnswerGraceMs = 30;
+constexpr std::uint32_t kFirstServerError = 500;
+// When a caller that was turned away may come back, if nothing tells better.
+constexpr Milliseconds kRetryAfterLeastMs = 150;
+constexpr std::uint64_t kRetryAfterSpreadMs = 250;
+constexpr double kMillisecondsPerSecond = 1000;
+
+std::optional<std::uint64_t>
+NumberHeader(const HttpRequest& aRequest, std::string_view aName)
+{
+  const std::string_view text = aRequest[aName];
+  std::uint64_t number = 0;
+  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
+  if (text.empty() || error != std::errc() || end != text.data() + text.size()) {
+    return std::nullopt;
+  }
+  return number;
+}
+
+config::RouteQuery
+QueryOf(const HttpRequest& aRequest)
+{
+  return { .m_host = aRequest[http::field::host],
+           .m_method = aRequest.method_string(),
+           .m_path = net::PathOf(aRequest.target()) };
+}
+
+// The least of the route's timeout and what the caller says it will wait.
+Milliseconds
+TimeLeft(const HttpRequest& aRequest, const config::Route& aRoute)
+{
+  std::uint64_t left = aRoute.m_timeoutMs;
+  for (const std::string_view name :
+       { std::string_view("Sequoiastep-Timeout-Ms"), adapter::kDeadlineMs }) {
+    left = std::min(left, NumberHeader(aRequest, name).value_or(left));
+  }
+  return static_cast<Milliseconds>(left);
+}
+
+bool
+IsServerError(const AnswerT& aAnswer)
+{
+  return aAnswer.outcome == CallOutcome::Done && aAnswer.status >= kFirstServerError;
+}
+
+AttemptOutcome
+OutcomeOf(const AnswerT& aAnswer)
+{
+  switch (aAnswer.outcome) {
+    case CallOutcome::Done:
+      return IsServerError(aAnswer) ? AttemptOutcome::Failed : AttemptOutcome::Done;
+    case CallOutcome::NotRun:
+      if (aAnswer.arrived) {
+        return AttemptOutcome::TurnedAway;
+      }
+      return aAnswer.overloaded ? AttemptOutcome::Overloaded : AttemptOutcome::NotRun;
+    case CallOutcome::Unknown:
+    case CallOutcome::Failed:
+      break;
+  }
+  return AttemptOutcome::Unknown;
+}
+
+} // namespace
+
+struct CallJob
+{
+  CallT m_call;
+  bool m_crossRegion = true;
+  config::Repeat m_repeat = config::Repeat::Never;
+  std::uint32_t m_maxAttempts = 1;
+  Instant m_startedAt;
+  Instant m_deadline;
+  Instant m_objective;
+};
+
+bool
+CallsDuty::MayOverlap(const HttpRequest& aRequest) const
+{
+  const auto snapshot = m_shared.m_snapshot.load();
+  const config::Route* route =
+    snapshot ? config::FindRoute(*snapshot->m_effective, QueryOf(aRequest)) : nullptr;
+  return route != nullptr && route->m_repeat == config::Repeat::Safe;
+}
+
+routing::RetryBudget&
+CallsDuty::BudgetOf(const std::string& aService)
+{
+  const auto view = m_shared.m_view.load();
+  const double nodes = view ? std::max<double>(1, static_cast<double>(view->m_nodes.size())) : 1;
+  const Retries& retries = m_settings.m_retries;
+  routing::RetryBudget& budget = m_budgets[aService];
+  budget.m_allowance = { .m_ratio = retries.m_ratio * retries.m_share,
+                         .m_extra = retries.m_extra * retries.m_share / nodes,
+                         .m_windowMs = static_cast<Milliseconds>(retries.m_windowMs) };
+  return budget;
+}
+
+CallJob
+CallsDuty::MakeJob(const HttpRequest& aRequest,
+                   const config::Snapshot& aSnapshot,
+                   const config::Route& aRoute)
+{
+  const std::size_t place = routing::NextCluster(m_weightTurns, aRoute, m_random);
+  const config::Cluster& cluster =
+    aSnapshot.m_effective->m_clusters.find(aRoute.m_clusters[place].m_cluster)->second;
+  const TraceContext trace = ParseTraceparent(aRequest["traceparent"])
+                               .value_or(StartTrace(m_random, m_settings.m_traceSample));
+  CallJob job;
+  job.m_crossRegion = cluster.m_crossRegion;
+  job.m_repeat = aRoute.m_repeat;
+  job.m_maxAttempts = aRoute.m_maxAttempts;
+  job.m_startedAt = Clock::Now();
+  job.m_deadline = job.m_startedAt + TimeLeft(aRequest, aRoute);
+  job.m_objective = job.m_startedAt + aRoute.m_objectiveMs;
+  job.m_call.service = cluster.m_service;
+  job.m_call.method = aRequest.method_string();
+  job.m_call.target = aRequest.target();
+  job.m_call.headers = EndToEndHeaders(aRequest);
+  job.m_call.body.assign(aRequest.body().begin(), aRequest.body().end());
+  job.m_call.version = aSnapshot.m_version;
+  job.m_call.trace_high = trace.m_traceHigh;
+  job.m_call.trace_low = trace.m_traceLow;
+  job.m_call.parent_span = trace.m_parent;
+  job.m_call.sampled = trace.m_sampled;
+  job.m_call.caller_service = m_settings.m_targetService;
+  job.m_call.request_id = aRequest[adapter::kRequestId];
+  job.m_call.repeatable = aRoute.m_repeat == config::Repeat::Safe;
+  job.m_call.priority = aRoute.m_priority;
+  return job;
+}
+
+Awaitable<HttpResponse>
+CallsDuty::Route(HttpRequest aRequest)
+{
+  co_await HoldWhileStale();
+  // One snapshot from here to the end of the call.
+  std::shared_ptr<const config::Snapshot> snapshot = m_shared.m_snapshot.load();
+  if (!m_shared.m_ready.load() || !snapshot) {
+    CountOutcome(CallOutcome::NotRun);
+    HttpResponse response = MakeProblem(http::status::service_unavailable,
+                                        CallOutcome::NotRun,
+                                        "this node is not ready yet; try another node or later");
+    response.set(http::field::retry_after, "0.3");
+    co_return response;
+  }
+  if (const auto wanted = NumberHeader(aRequest, "Sequoiastep-Version")) {
+    co_await HoldForVersion(*wanted);
+    snapshot = m_shared.m_snapshot.load();
+  }
+  const config::Route* route = config::FindRoute(*snapshot->m_effective, QueryOf(aRequest));
+  if (route == nullptr) {
+    CountOutcome(CallOutcome::NotRun);
+    co_return MakeProblem(
+      http::status::not_found,
+      CallOutcome::NotRun,
+      fmt::format("version {} has no route for this path and method", snapshot->m_version));
+  }
+  CallJob job = MakeJob(aRequest, *snapshot, *route);
+  HttpResponse response = co_await RunJob(std::move(job));
+  response.set("Sequoiastep-Version", std::to_string(snapshot->m_version));
+  co_return response;
+}
+
+// Runs a call at the target beside this node. If this coroutine is cancelled, what may run only
+// once and was started goes on without it.
+Awaitable<AnswerT>
+CallsDuty::RunHere(CallT aCall)
+{
+  struct Waiting
+  {
+    explicit Waiting(asio::io_context& aContext)
+      : m_done(aContext, std::chrono::steady_clock::time_point::max())
+    {
+    }
+    asio::steady_timer m_done;
+    std::optional<AnswerT> m_answer;
+  };
+  auto waiting = std::make_shared<Waiting>(m_context);
+  auto run = std::make_shared<TargetRun>();
+  run->m_repeatable = aCall.repeatable;
+  struct Leave
+  {
+    std::shared_ptr<Waiting> m_waiting;
+    std::shared_ptr<TargetRun> m_run;
+    ~Leave()
+    {
+      if (!m_waiting->m_answer) {
+        Abandon(*m_run);
+      }
+    }
+  };
+  const Leave leave{ .m_waiting = waiting, .m_run = run };
+  asio::co_spawn(
+    m_context,
+    m_runner.Run(std::move(aCall), m_identity.m_node, run),
+    asio::bind_cancellation_slot(
+      run->m_cancel.slot(), [waiting, run](const std::exception_ptr& aFailure, AnswerT aAnswer) {
+        if (aFailure) {
+          aAnswer = AnswerT();
+          aAnswer.outcome = CallOutcome::Unknown;
+          aAnswer.reason = "the call was broken off";
+        }
+        waiting->m_answer = std::move(aAnswer);
+        waiting->m_done.cancel();
+      }));
+  co_await waiting->m_done.async_wait(kAsTuple);
+  if (!waiting->m_answer) {
+    // The wait was cancelled: the caller left.
+    AnswerT unknown;
+    unknown.outcome = CallOutcome::Unknown;
+    unknown.arrived = run->m_dispatched;
+    unknown.reason = "the caller left";
+    co_return unknown;
+  }
+  co_return std::move(*waiting->m_answer);
+}
+
+Awaitable<AnswerT>
+CallsDuty::Attempt(const CallJob& aJob, const routing::Candidate& aTarget)
+{
+  CallT call = aJob.m_call;
+  const Milliseconds left = std::max<Milliseconds>(1, aJob.m_deadline - Clock::Now());
+  call.timeout_ms = static_cast<std::uint32_t>(left);
+  call.objective_ms = static_cast<std::int32_t>(aJob.m_objective - Clock::Now());
+  if (aTarget.m_node == m_identity.m_node) {
+    AnswerT answer = co_await RunHere(std::move(call));
+    co_return answer;
+  }
+  const bool foreign = aTarget.m_region != m_identity.m_region;
+  const std::size_t sentBytes = call.body.size();
+  CallReply reply = co_await m_links.Call(
+    aTarget.m_node, aTarget.m_address, std::move(call), left + kAnswerGraceMs);
+  if (foreign) {
+    m_shared.m_calls.m_crossRegionBytes.fetch_add(sentBytes + reply.m_answer.body.size());
+  }
+  AnswerT answer;
+  switch (reply.m_kind) {
+    case CallReply::Kind::Answered:
+      co_return std::move(reply.m_answer);
+    case CallReply::Kind::NotSent:
+      answer.outcome = CallOutcome::NotRun;
+      answer.reason = "the node beside the target can't be reached";
+      break;
+    case CallReply::Kind::LinkBroken:
+      answer.outcome = CallOutcome::Unknown;
+      answer.arrived = true;
+      answer.reason = "the link to the node beside the target broke after the call was sent";
+      break;
+    case CallReply::Kind::TimedOut:
+      answer.outcome = CallOutcome::Unknown;
+      answer.arrived = true;
+      answer.timed_out = true;
+      answer.reason = "no answer came within the deadline";
+      break;
+  }
+  co_return answer;
+}
+
+AttemptOutcome
+CallsDuty::Judge(const AnswerT& aAnswer, const std::string& aNode, std::int64_t aElapsedUs)
+{
+  const Instant now = Clock::Now();
+  const AttemptOutcome outcome = OutcomeOf(aAnswer);
+  switch (outcome) {
+    case AttemptOutcome::Done:
+    case AttemptOutcome::Failed:
+      routing::NoteAnswer(m_picks, aNode, aElapsedUs, aAnswer.outstanding, now);
+      break;
+    case AttemptOutcome::Overloaded:
+      routing::NoteOverload(m_picks, aNode, aAnswer.outstanding, now);
+      break;
+    case AttemptOutcome::NotRun:
+    case AttemptOutcome::TurnedAway:
+    case AttemptOutcome::Unknown:
+      routing::NoteFailure(m_picks, aNode, now, m_random);
+      break;
+  }
+  return outcome;
+}
+
+std::optional<routing::Candidate>
+CallsDuty::PickTarget(const CallJob& aJob, const std::set<std::string, std::less<>>& aTried)
+{
+  const auto view = m_shared.m_view.load();
+  const auto service = view->m_services.find(aJob.m_call.service);
+  if (service == view->m_services.end()) {
+    return std::nullopt;
+  }
+  const auto picked = routing::Pick(service->second,
+                                    m_picks,
+                                    { .m_region = m_identity.m_region,
+                                      .m_failureDomain = m_identity.m_failureDomain,
+                                      .m_crossRegion = aJob.m_crossRegion,
+                                      .m_tried = &aTried },
+                                    Clock::Now(),
+                                    m_random);
+  return picked ? std::optional(service->second[*picked]) : std::nullopt;
+}
+
+// One attempt, with what it shows of the target noted however it ends.
+Awaitable<AttemptOutcome>
+CallsDuty::TryTarget(const CallJob& aJob, const routing::Candidate& aTarget, AnswerT& aAnswer)
+{
+  struct Leave
+  {
+    routing::PickState& m_picks;
+    const std::string& m_node;
+    bool m_judged = false;
+    ~Leave()
+    {
+      if (!m_judged) {
+        routing::NoteAbandoned(m_picks, m_node);
+      }
+    }
+  };
+  const std::int64_t startUs = Clock::NowMicroseconds();
+  routing::NoteDispatch(m_picks, aTarget.m_node);
+  Leave leave{ .m_picks = m_picks, .m_node = aTarget.m_node };
+  aAnswer = co_await Attempt(aJob, aTarget);
+  leave.m_judged = true;
+  co_return Judge(aAnswer, aTarget.m_node, Clock::NowMicroseconds() - startUs);
+}
+
+void
+CallsDuty::NoteLatency(std::int64_t aElapsedUs)
+{
+  m_latency(static_cast<double>(aElapsedUs));
+  ++m_latencyCount;
+  m_latencySumUs += static_cast<double>(aElapsedUs);
+}
+
+Awaitable<HttpResponse>
+CallsDuty::RunJob(CallJob aJob)
+{
+  const Span span(TraceOf(aJob.m_call), "route", m_random);
+  aJob.m_call.parent_span = span.Context().m_parent;
+  routing::RetryBudget& budget = BudgetOf(aJob.m_call.service);
+  routing::NoteRequest(budget, Clock::Now());
+  std::set<std::string, std::less<>> tried;
+  AnswerT answer;
+  answer.outcome = CallOutcome::NotRun;
+  answer.reason = "the service has no target now";
+  std::string lastNode;
+  routing::RetryQuestion question{ .m_repeat = aJob.m_repeat,
+                                   .m_handovers = 0,
+                                   .m_maxAttempts = aJob.m_maxAttempts };
+  RetryVerdict verdict = RetryVerdict::TryFree;
+  while (verdict != RetryVerdict::Stop) {
+    const auto target = PickTarget(aJob, tried);
+    if (!target) {
+      break;
+    }
+    if (question.m_handovers > 0) {
+      m_shared.m_calls.m_retries.fetch_add(1, std::memory_order_relaxed);
+    }
+    lastNode = target->m_node;
+    tried.insert(lastNode);
+    ++question.m_handovers;
+    AnswerT next;
+    question.m_outcome = co_await TryTarget(aJob, *target, next);
+    const bool charged = verdict == RetryVerdict::TryCharged;
+    if (charged && !next.arrived) {
+      routing::ReturnRepeat(budget, Clock::Now());
+    }
+    question.m_arrivals += next.arrived ? 1 : 0;
+    // What an earlier target may have done outweighs that a later one did nothing.
+    if (!charged || next.arrived) {
+      answer = std::move(next);
+    }
+    if (answer.outcome == CallOutcome::Done && !IsServerError(answer)) {
+      break;
+    }
+    question.m_leftMs = aJob.m_deadline - Clock::Now();
+    verdict = routing::MayRetry(budget, question, Clock::Now());
+  }
+  NoteLatency(span.ElapsedUs());
+  span.End(NameOf(answer.outcome), lastNode);
+  if (answer.outcome != CallOutcome::Done) {
+    LogLine(LogLevel::Info, "request_failed")
+      .Add("id", aJob.m_call.request_id)
+      .Add("service", aJob.m_call.service)
+      .Add("outcome", NameOf(answer.outcome))
+      .Add("reason", answer.reason)
+      .Add("last_node", lastNode)
+      .Add("handovers", question.m_handovers)
+      .Add("arrivals", question.m_arrivals)
+      .Add("elapsed_ms", Clock::Now() - aJob.m_startedAt)
+      .Add("left_ms", aJob.m_deadline - Clock::Now());
+  }
+  co_return Respond(aJob, answer);
+}
+
+HttpResponse
+CallsDuty::Respond(const CallJob& aJob, const AnswerT& aAnswer)
+{
+  CountOutcome(aAnswer.outcome);
+  if (aAnswer.outcome == CallOutcome::Done) {
+    return ResponseFrom(aAnswer);
+  }
+  HttpResponse response;
+  if (aAnswer.outcome == CallOutcome::NotRun) {
+    response = MakeProblem(http::status::service_unavailable,
+                           aAnswer.outcome,
+                           aAnswer.reason + "; it is safe to send the request again");
+    const Milliseconds after =
+      aAnswer.retry_after_ms > 0
+        ? static_cast<Milliseconds>(aAnswer.retry_after_ms)
+        : kRetryAfterLeastMs + static_cast<Milliseconds>(m_random.Below(kRetryAfterSpreadMs));
+    response.set(http::field::retry_after,
+                 fmt::format("{:.3f}", static_cast<double>(after) / kMillisecondsPerSecond));
+  } else {
+    const bool late = aAnswer.timed_out || Clock::Now() >= aJob.m_deadline;
+    response = MakeProblem(late ? http::status::gateway_timeout : http::status::bad_gateway,
+                           aAnswer.outcome,
+                           aAnswer.reason +
+                             "; it may have been run, ask the service before sending it again");
+  }
+  if (!aJob.m_call.request_id.empty()) {
+    response.set(adapter::kRequestId, aJob.m_call.request_id);
+  }
+  return response;
+}
+
+} // namespace sequoiastep::node
--- a/modules/node/src/CallsDutyServe.cpp
+++ b/modules/node/src/CallsDutyServe.cpp
@@ -22,7 +22,7 @@
   bool m_foreign = false;
   std::unique_ptr<net::FrameConnection> m_connection;
   routing::TransitClock m_transit;
-  std::map<std::uint64_t, std::shared_ptr<asio::cancellation_signal>> m_calls;
+  std::map<std::uint64_t, std::shared_ptr<TargetRun>> m_calls;
 };
 
 void
@@ -50,8 +50,9 @@
     [this, weak = std::weak_ptr<Inbound>(inbound)](const std::string&) {
       if (const InboundPtr strong = weak.lock()) {
         // Nobody can get the answers any more: what still waits need not run.
-        for (const auto& [id, signal] : strong->m_calls) {
-          signal->emit(asio::cancellation_type::terminal);
+        const auto calls = strong->m_calls;
+        for (const auto& [id, run] : calls) {
+          Abandon(*run);
         }
         m_inbound.erase(strong);
       }
@@ -65,8 +66,8 @@
     const auto found = aInbound->m_calls.find(aMessage.body.AsCancel()->id);
     if (found != aInbound->m_calls.end()) {
       m_shared.m_calls.m_cancelled.fetch_add(1, std::memory_order_relaxed);
-      const auto signal = found->second;
-      signal->emit(asio::cancellation_type::terminal);
+      const auto run = found->second;
+      Abandon(*run);
     }
     return;
   }
@@ -77,16 +78,17 @@
   // What the call waited in buffers, as while this process was paused, is time of its deadline.
   const Milliseconds age = routing::NoteTransit(aInbound->m_transit, call.sent_ms, Clock::Now());
   call.timeout_ms -= static_cast<std::uint32_t>(std::min<Milliseconds>(age, call.timeout_ms));
-  auto signal = std::make_shared<asio::cancellation_signal>();
-  aInbound->m_calls[call.id] = signal;
+  auto run = std::make_shared<TargetRun>();
+  run->m_repeatable = call.repeatable;
+  aInbound->m_calls[call.id] = run;
   asio::co_spawn(
     m_context,
-    Serve(aInbound, std::move(call)),
-    asio::bind_cancellation_slot(signal->slot(), [signal](const std::exception_ptr&) {}));
+    Serve(aInbound, std::move(call), run),
+    asio::bind_cancellation_slot(run->m_cancel.slot(), [run](const std::exception_ptr&) {}));
 }
 
 Awaitable<void>
-CallsDuty::Serve(InboundPtr aInbound, CallT aCall)
+CallsDuty::Serve(InboundPtr aInbound, CallT aCall, std::shared_ptr<TargetRun> aRun)
 {
   const InProgress progress(m_serving);
   const std::uint64_t id = aCall.id;
@@ -104,7 +106,7 @@
     answer = co_await AnswerForwarded(std::move(aCall));
   } else {
     co_await HoldForVersion(aCall.version);
-    answer = co_await m_runner.Run(std::move(aCall), aInbound->m_node);
+    answer = co_await m_runner.Run(std::move(aCall), aInbound->m_node, aRun);
   }
   answer.id = id;
   span.End(NameOf(answer.outcome), "target");
--- a/modules/node/src/ControlDuty.cpp
+++ b/modules/node/src/ControlDuty.cpp
@@ -3,6 +3,7 @@
 #include "Address.h"
 #include "Log.h"
 #include "Problem.h"
+#include "StoreCalls.h"
 
 #include <boost/json.hpp>
 #include <chrono>
@@ -18,9 +19,6 @@
 namespace {
 
 constexpr std::size_t kMailboxItems = 4096;
-constexpr std::uint32_t kRecordsInOneRead = 64;
-constexpr std::uint32_t kNewestCheckpoints = 3;
-constexpr std::uint32_t kNewestDirectoryEntries = 8;
 
 distribution::ControllerOptions
 MakeControllerOptions(const Settings& aSettings, std::uint64_t aIncarnation)
@@ -31,6 +29,7 @@
   options.m_region = aSettings.m_region;
   options.m_failureDomain = aSettings.m_failureDomain;
   options.m_hints = aSettings.m_peerHints;
+  options.m_followPublications = !aSettings.m_operatorRecord;
   options.m_seed = aIncarnation;
   options.m_topology.m_fanOut = aSettings.m_links.m_fanOut;
   options.m_topology.m_chords = aSettings.m_links.m_chords;
@@ -99,11 +98,12 @@
 }
 
 distribution::DirectoryRead
-ParseDirectory(const platform::ReadReply& aReply)
+ParseDirectory(const platform::NewestReply& aReply)
 {
   distribution::DirectoryRead read;
-  for (const platform::LogEntry& logEntry : aReply.m_entries) {
-    if (auto entry = ParseDirectoryEntry(logEntry.m_body)) {
+  read.m_ok = aReply.m_ok;
+  for (const platform::KeyedEntry& keyed : aReply.m_entries) {
+    if (auto entry = ParseDirectoryEntry(keyed.m_value)) {
       read.m_entries.push_back(std::move(*entry));
     }
   }
@@ -148,28 +148,26 @@
     m_duty.m_log->Read(
       m_duty.Stream("config"),
       aAction.m_from,
-      kRecordsInOneRead,
       aAction.m_waitMs,
       [duty = &m_duty](platform::ReadReply aReply) { duty->Post(ToEvent(std::move(aReply))); });
   }
   void operator()(const distribution::ReadCheckpoints&) const
   {
-    m_duty.m_log->ReadNewest(m_duty.Stream("checkpoints"),
-                             kNewestCheckpoints,
-                             [duty = &m_duty](platform::ReadReply aReply) {
+    m_duty.m_log->ReadNewest(adapter::KeyedTopic(m_duty.Stream("checkpoints")),
+                             [duty = &m_duty](const platform::NewestReply& aReply) {
                                distribution::CheckpointsRead read;
-                               for (platform::LogEntry& entry : aReply.m_entries) {
-                                 read.m_bodies.push_back(std::move(entry.m_body));
+                               for (const platform::KeyedEntry& entry : aReply.m_entries) {
+                                 read.m_bodies.push_back(entry.m_value);
                                }
                                duty->Post(std::move(read));
                              });
   }
   void operator()(const distribution::ReadDirectory&) const
   {
-    m_duty.m_log->ReadNewest(
-      m_duty.Stream("directory"),
-      kNewestDirectoryEntries,
-      [duty = &m_duty](const platform::ReadReply& aReply) { duty->Post(ParseDirectory(aReply)); });
+    m_duty.m_log->ReadNewest(adapter::KeyedTopic(m_duty.Stream("nodes")),
+                             [duty = &m_duty](const platform::NewestReply& aReply) {
+                               duty->Post(ParseDirectory(aReply));
+                             });
   }
   void operator()(const distribution::AppendPublication& aAction) const
   {
@@ -182,8 +180,13 @@
   }
   void operator()(const distribution::AppendCheckpoint& aAction) const
   {
-    m_duty.m_log->Append(
-      m_duty.Stream("checkpoints"), aAction.m_body, [](const platform::AppendReply& aReply) {
+    // Under the writer's own name: a paused writer's late checkpoint replaces no newer one of
+    // another.
+    m_duty.m_log->AppendKeyed(
+      adapter::KeyedTopic(m_duty.Stream("checkpoints")),
+      m_duty.m_settings.m_node,
+      aAction.m_body,
+      [](const platform::AppendReply& aReply) {
         if (aReply.m_status != platform::AppendStatus::Appended) {
           LogLine(LogLevel::Warning, "checkpoint_not_written")
             .Add("remedy", "the next one is written in time; check the platform's log");
@@ -192,9 +195,13 @@
   }
   void operator()(const distribution::AppendDirectory& aAction) const
   {
-    m_duty.m_log->Append(m_duty.Stream("directory"),
-                         DirectoryText(aAction.m_entry),
-                         [](const platform::AppendReply&) {});
+    m_duty.m_log->AppendKeyed(adapter::KeyedTopic(m_duty.Stream("nodes")),
+                              m_duty.m_settings.m_node,
+                              DirectoryText(aAction.m_entry),
+                              [duty = &m_duty](const platform::AppendReply& aReply) {
+                                const bool ok = aReply.m_status == platform::AppendStatus::Appended;
+                                duty->Post(distribution::DirectoryWritten{ .m_ok = ok });
+                              });
   }
   void operator()(const distribution::AnswerPublish& aAction) const
   {
@@ -202,7 +209,9 @@
   }
   void operator()(const distribution::InstallSnapshot& aAction) const
   {
-    m_duty.m_shared.m_snapshot.store(aAction.m_snapshot);
+    if (!m_duty.m_operator) {
+      m_duty.m_shared.m_snapshot.store(aAction.m_snapshot);
+    }
   }
   void operator()(const distribution::MembersChanged&) const { m_duty.RefreshView(); }
   void operator()(const distribution::ReadinessChanged& aAction) const
@@ -276,11 +285,16 @@
   distribution::ControllerOptions options = MakeControllerOptions(m_settings, m_incarnation);
   options.m_address = m_links.Address();
   m_controller = distribution::MakeController(options, Clock::Now());
-  m_shared.m_snapshot.store(config::MakeSnapshot(*m_controller->m_replay, m_settings.m_region));
   aHooks.m_feed = [this](Event aEvent) { Feed(std::move(aEvent)); };
   m_admin = std::make_unique<AdminApi>(m_context, m_settings, *this, std::move(aHooks));
   m_log = std::make_unique<platform::LogClient>(
     platform::LogClientOptions{ .m_address = m_settings.m_platformLog });
+  if (m_settings.m_operatorRecord) {
+    m_operator = std::make_unique<OperatorSource>(m_context, *m_log, m_shared);
+    m_operator->Start();
+  } else {
+    m_shared.m_snapshot.store(config::MakeSnapshot(*m_controller->m_replay, m_settings.m_region));
+  }
   RefreshView();
   asio::co_spawn(m_context, TickLoop(), asio::detached);
 }
@@ -349,10 +363,19 @@
 ControlDuty::Stop()
 {
   m_stopped = true;
+  if (m_operator) {
+    m_operator->Stop();
+  }
   m_adminServer->CloseAll();
   m_links.Stop();
 }
 
+bool
+ControlDuty::TakesCalls() const
+{
+  return m_shared.m_ready.load() && !m_shared.m_draining.load() && m_shared.m_snapshot.load();
+}
+
 const distribution::Controller&
 ControlDuty::State() const
 {
--- a/modules/node/src/ControlDuty.h
+++ b/modules/node/src/ControlDuty.h
@@ -9,6 +9,7 @@
 #include "HttpServer.h"
 #include "LogClient.h"
 #include "Mailbox.h"
+#include "OperatorSource.h"
 #include "PeerLinks.h"
 #include "Settings.h"
 #include "Shared.h"
@@ -43,6 +44,8 @@
   void Stop();
   /// @return the log's client; call after Start.
   platform::LogClient& Log() { return *m_log; }
+  /// @return true if callers may send their requests to this node.
+  bool TakesCalls() const;
   /// @return the controller, for status answers.
   const distribution::Controller& State() const;
   /// @return bytes of control messages so far.
@@ -64,6 +67,7 @@
   PeerLinks m_links;
   Mailbox<distribution::Event> m_mailbox;
   std::unique_ptr<platform::LogClient> m_log;
+  std::unique_ptr<OperatorSource> m_operator;
   std::unique_ptr<AdminApi> m_admin;
   std::unique_ptr<net::HttpServer> m_adminServer;
   std::optional<distribution::Controller> m_controller;
--- a/modules/node/src/Headers.cpp
+++ b/modules/node/src/Headers.cpp
@@ -1,5 +1,7 @@
 #include "Headers.h"
 
+#include "Names.h"
+
 #include <algorithm>
 #include <array>
 #include <boost/beast/core/string.hpp>
@@ -9,7 +11,7 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 14> kHopHeaders{
+constexpr std::array<std::string_view, 17> kHopHeaders{
   "connection",
   "keep-alive",
   "proxy-authenticate",
@@ -24,6 +26,9 @@
   "sequoiastep-timeout-ms",
   "sequoiastep-version",
   "sequoiastep-outcome",
+  adapter::kDeadlineMs,
+  adapter::kExpectedTarget,
+  adapter::kCallerService,
 };
 
 } // namespace
--- a/modules/node/src/Node.cpp
+++ b/modules/node/src/Node.cpp
@@ -22,6 +22,8 @@
 
 constexpr Milliseconds kDrainStepMs = 20;
 constexpr Milliseconds kLeaveNoticeMs = 150;
+// The rest of the time is left for the exit itself.
+constexpr double kDrainShare = 0.9;
 constexpr std::size_t kCallSocketsWaiting = 1024;
 
 // An accepted connection on its way from the control thread to the calls thread.
@@ -35,8 +37,9 @@
 class NodeProcess
 {
 public:
-  explicit NodeProcess(const Settings& aSettings)
+  NodeProcess(const Settings& aSettings, std::string aPath)
     : m_settings(aSettings)
+    , m_path(std::move(aPath))
     , m_control(m_controlContext,
                 aSettings,
                 EntropySeed() | 1U,
@@ -50,6 +53,7 @@
                       m_calls->TakeCallSocket(aSocket.m_descriptor, aSocket.m_hello);
                     })
     , m_signals(m_controlContext, SIGTERM, SIGINT)
+    , m_reloads(m_controlContext, SIGHUP)
   {
   }
 
@@ -70,6 +74,7 @@
         BeginStop();
       }
     });
+    AwaitReload();
     std::thread callsThread([this] { RunCalls(); });
     m_controlContext.run();
     m_callsGuard.reset();
@@ -81,6 +86,31 @@
 private:
   void RunCalls() { m_callsContext.run(); }
 
+  void AwaitReload()
+  {
+    m_reloads.async_wait([this](const net::error_code& aError, int) {
+      if (!aError) {
+        Reload();
+        AwaitReload();
+      }
+    });
+  }
+
+  // Addresses and names belong to the process for its life; the log level may change.
+  void Reload()
+  {
+    const std::string problem = Handle(
+      [&]() -> Result<std::string> {
+        BOOST_LEAF_AUTO(settings, ReadSettings(m_path));
+        SetLogLevel(settings.m_logLevel);
+        return std::string();
+      },
+      [](const Error& aError) { return aError.m_message; });
+    LogLine(problem.empty() ? LogLevel::Info : LogLevel::Error, "settings_reloaded")
+      .Add("node", m_settings.m_node)
+      .Add("problem", problem.empty() ? "none" : problem);
+  }
+
   void PassCallSocket(int aDescriptor, wire::HelloT aHello)
   {
     if (!m_callSockets.Post({ .m_descriptor = aDescriptor, .m_hello = std::move(aHello) })) {
@@ -123,14 +153,26 @@
     co_return idle;
   }
 
+  // Waits until the given time after the stop request.
+  Awaitable<void> SleepUntil(Instant aStart, std::uint64_t aAfterMs)
+  {
+    const Milliseconds left = static_cast<Milliseconds>(aAfterMs) - (Clock::Now() - aStart);
+    if (left > 0) {
+      co_await Sleep(left);
+    }
+  }
+
   Awaitable<void> FinishStop()
   {
+    const Timings& timings = m_settings.m_timings;
     const Instant start = Clock::Now();
-    co_await Sleep(static_cast<Milliseconds>(m_settings.m_timings.m_drainNoticeMs));
+    co_await SleepUntil(start, timings.m_drainNoticeMs);
     asio::post(m_callsContext, [this] { m_calls->StopTakingWork(); });
+    co_await SleepUntil(start, timings.m_callerNoticeMs);
+    asio::post(m_callsContext, [this] { m_calls->StopTakingCallers(); });
+    const auto most = static_cast<Milliseconds>(timings.m_drainMs * kDrainShare);
     bool idle = false;
-    while (!idle &&
-           Clock::Now() - start < static_cast<Milliseconds>(m_settings.m_timings.m_drainMs)) {
+    while (!idle && Clock::Now() - start < most) {
       co_await Sleep(kDrainStepMs);
       idle = co_await CallsAreIdle();
     }
@@ -149,6 +191,7 @@
   }
 
   const Settings& m_settings;
+  std::string m_path;
   Shared m_shared;
   asio::io_context m_controlContext{ 1 };
   asio::io_context m_callsContext{ 1 };
@@ -159,18 +202,19 @@
   std::unique_ptr<CallsDuty> m_calls;
   Mailbox<CallSocket> m_callSockets;
   asio::signal_set m_signals;
+  asio::signal_set m_reloads;
   bool m_stopping = false;
 };
 
 } // namespace
 
 Result<void>
-RunNode(const Settings& aSettings)
+RunNode(const Settings& aSettings, const std::string& aPath)
 {
   std::signal(SIGPIPE, SIG_IGN);
   // Never torn down: suspended calls refer to it until the process ends.
   static NodeProcess* process = nullptr;
-  process = new NodeProcess(aSettings); // NOLINT(cppcoreguidelines-owning-memory)
+  process = new NodeProcess(aSettings, aPath); // NOLINT(cppcoreguidelines-owning-memory)
   return process->Run();
 }
 
--- a/modules/node/src/OwnKeys.cpp
+++ b/modules/node/src/OwnKeys.cpp
@@ -12,7 +12,6 @@
 
 namespace {
 
-constexpr std::uint32_t kRecordsInOneRead = 512;
 constexpr Milliseconds kReadWaitMs = 2000;
 constexpr Milliseconds kRetryMs = 300;
 constexpr Milliseconds kStepMs = 3;
@@ -91,7 +90,6 @@
   auto pending = std::make_shared<Pending<platform::ReadReply>>(m_context);
   m_log->Read(StreamName(aStream),
               m_tails[aStream].m_index.m_next,
-              kRecordsInOneRead,
               m_tails[aStream].m_caughtUp ? kReadWaitMs : 0,
               Deliver(m_context, pending));
   co_await pending->m_timer.async_wait(net::kAsTuple);
@@ -140,7 +138,7 @@
     for (const platform::LogEntry& entry : reply.m_entries) {
       idempotency::ReplayClaim(tail.m_index, entry.m_offset, entry.m_body);
     }
-    tail.m_caughtUp = reply.m_entries.size() < kRecordsInOneRead;
+    tail.m_caughtUp = tail.m_index.m_next >= reply.m_next.value_or(0);
     DropOld(tail);
   }
   tail.m_caughtUp = false;
--- a/modules/node/src/Settings.cpp
+++ b/modules/node/src/Settings.cpp
@@ -48,7 +48,7 @@
   { "own_key_retention_ms", &Limits::m_ownKeyRetentionMs, 1000, 30 * kDayMs },
 } };
 
-constexpr std::array<NumberField<Timings>, 10> kTimingFields{ {
+constexpr std::array<NumberField<Timings>, 11> kTimingFields{ {
   { "heartbeat_ms", &Timings::m_heartbeatMs, 100, 10'000 },
   { "suspect_after_ms", &Timings::m_suspectAfterMs, 500, 60'000 },
   { "join_wait_ms", &Timings::m_joinWaitMs, 100, 60'000 },
@@ -59,6 +59,7 @@
   { "version_hold_ms", &Timings::m_versionHoldMs, 0, 5000 },
   { "drain_ms", &Timings::m_drainMs, 100, 600'000 },
   { "drain_notice_ms", &Timings::m_drainNoticeMs, 0, 60'000 },
+  { "caller_notice_ms", &Timings::m_callerNoticeMs, 0, 60'000 },
 } };
 
 constexpr std::array<NumberField<Links>, 2> kLinkFields{ {
@@ -122,6 +123,30 @@
   return listen;
 }
 
+Result<void>
+ReadTarget(const json::object* aObject, Settings& aSettings)
+{
+  ObjectReader reader = ReaderOf(aObject, "target");
+  BOOST_LEAF_ASSIGN(aSettings.m_targetListen, ReadAddress(reader, "listen", "target"));
+  BOOST_LEAF_ASSIGN(aSettings.m_targetService, reader.TextOr("service", ""));
+  return reader.Finish();
+}
+
+Result<void>
+ReadRetries(const json::object* aObject, Settings& aSettings)
+{
+  constexpr NumberRule kExtraRule{ .m_default = 60, .m_least = 0, .m_most = 1'000'000 };
+  constexpr NumberRule kWindowRule{ .m_default = 10'000, .m_least = 1000, .m_most = 600'000 };
+  Retries& retries = aSettings.m_retries;
+  ObjectReader reader = ReaderOf(aObject, "retries");
+  BOOST_LEAF_ASSIGN(retries.m_ratio, reader.Fraction("ratio", retries.m_ratio));
+  BOOST_LEAF_ASSIGN(retries.m_share, reader.Fraction("share", retries.m_share));
+  BOOST_LEAF_AUTO(extra, reader.Number("extra", kExtraRule));
+  BOOST_LEAF_ASSIGN(retries.m_windowMs, reader.Number("window_ms", kWindowRule));
+  retries.m_extra = static_cast<double>(extra);
+  return reader.Finish();
+}
+
 Result<void>
 ReadAdmin(const json::object* aObject, Settings& aSettings)
 {
@@ -148,6 +173,7 @@
 {
   ObjectReader reader = ReaderOf(aObject, "platform");
   BOOST_LEAF_ASSIGN(aSettings.m_platformLog, ReadAddress(reader, "log", "platform"));
+  BOOST_LEAF_ASSIGN(aSettings.m_operatorRecord, reader.Flag("operator_record", false));
   return reader.Finish();
 }
 
@@ -206,14 +232,16 @@
   BOOST_LEAF_AUTO(limits, reader.Object("limits"));
   BOOST_LEAF_AUTO(timings, reader.Object("timings"));
   BOOST_LEAF_AUTO(links, reader.Object("links"));
+  BOOST_LEAF_AUTO(retries, reader.Object("retries"));
   BOOST_LEAF_CHECK(reader.Finish());
   BOOST_LEAF_ASSIGN(settings.m_callerListen, ReadListen(sections[0], "caller"));
-  BOOST_LEAF_ASSIGN(settings.m_targetListen, ReadListen(sections[1], "target"));
+  BOOST_LEAF_CHECK(ReadTarget(sections[1], settings));
   BOOST_LEAF_CHECK(ReadAdmin(sections[2], settings));
   BOOST_LEAF_CHECK(ReadPeer(sections[3], settings));
   BOOST_LEAF_CHECK(ReadPlatform(sections[4], settings));
   BOOST_LEAF_CHECK(ReadTrace(sections[5], settings));
   BOOST_LEAF_CHECK(ReadLog(log, settings));
+  BOOST_LEAF_CHECK(ReadRetries(retries, settings));
   BOOST_LEAF_ASSIGN(settings.m_limits, ReadNumbers(limits, "limits", kLimitFields));
   BOOST_LEAF_ASSIGN(settings.m_timings, ReadNumbers(timings, "timings", kTimingFields));
   BOOST_LEAF_ASSIGN(settings.m_links, ReadNumbers(links, "links", kLinkFields));
@@ -246,17 +274,24 @@
     { "region", aSettings.m_region },
     { "failure_domain", aSettings.m_failureDomain },
     { "caller", { { "listen", aSettings.m_callerListen } } },
-    { "target", { { "listen", aSettings.m_targetListen } } },
+    { "target",
+      { { "listen", aSettings.m_targetListen }, { "service", aSettings.m_targetService } } },
     { "admin",
       { { "listen", aSettings.m_adminListen },
         { "token", aSettings.m_adminToken.empty() ? "" : "(set)" } } },
     { "peer", { { "listen", aSettings.m_peerListen }, { "hints", hints } } },
-    { "platform", { { "log", aSettings.m_platformLog } } },
+    { "platform",
+      { { "log", aSettings.m_platformLog }, { "operator_record", aSettings.m_operatorRecord } } },
     { "trace", { { "sample", aSettings.m_traceSample } } },
     { "log", { { "level", NameOf(aSettings.m_logLevel) } } },
     { "limits", NumbersObject(aSettings.m_limits, kLimitFields) },
     { "timings", NumbersObject(aSettings.m_timings, kTimingFields) },
     { "links", NumbersObject(aSettings.m_links, kLinkFields) },
+    { "retries",
+      { { "ratio", aSettings.m_retries.m_ratio },
+        { "extra", static_cast<std::uint64_t>(aSettings.m_retries.m_extra) },
+        { "share", aSettings.m_retries.m_share },
+        { "window_ms", aSettings.m_retries.m_windowMs } } },
   };
   return json::serialize(object);
 }
--- a/modules/node/src/TargetApi.h
+++ b/modules/node/src/TargetApi.h
@@ -1,22 +1,24 @@
 /// @file
-/// The HTTP interface by which the target beside the node announces itself.
+/// The HTTP interface by which the target beside the node reports itself: the project's own
+/// announcement and the platform's heartbeat.
 #pragma once
 
 #include "AsioTypes.h"
-#include "TargetRunner.h"
+#include "TargetRecord.h"
 
+#include <cstdint>
 #include <functional>
 #include <optional>
 #include <string>
 
 namespace sequoiastep::node {
 
-/// Keeps the target's announcement and its time to live. Runs on the calls thread only.
+/// Keeps the target's newest report and its time to live. Runs on the calls thread only.
 class TargetApi
 {
 public:
-  /// Runs when the announcement changed; nothing if the target is lost.
-  using OnChange = std::function<void(const std::optional<TargetAnnouncement>&)>;
+  /// Runs when what is believed of the target changed; nothing if it is lost.
+  using OnChange = std::function<void(const std::optional<routing::TargetReport>&)>;
 
   explicit TargetApi(OnChange aOnChange);
 
@@ -27,10 +29,16 @@
 
 private:
   net::HttpResponse TakeAnnouncement(const std::string& aBody);
+  net::HttpResponse TakeHeartbeat(const std::string& aId, const std::string& aBody);
+  net::HttpResponse TakeLeaving(const std::string& aId, const std::string& aBody);
+  void Believe(const routing::TargetReport& aReport);
+  net::HttpResponse Reject(const std::string& aProblem);
 
   OnChange m_onChange;
-  std::optional<TargetAnnouncement> m_target;
-  Instant m_heardAt;
+  routing::TargetRecord m_record;
+  Milliseconds m_ttlMs = 0;
+  std::uint64_t m_announcements = 0;
+  std::uint64_t m_rejected = 0;
 };
 
 } // namespace sequoiastep::node
--- a/modules/node/src/TargetRunner.cpp
+++ b/modules/node/src/TargetRunner.cpp
@@ -2,6 +2,7 @@
 
 #include "Address.h"
 #include "Headers.h"
+#include "Names.h"
 #include "Trace.h"
 
 #include <boost/beast/http/verb.hpp>
@@ -22,14 +23,25 @@
 namespace {
 
 constexpr std::string_view kOutcomeHeader = "Sequoiastep-Outcome";
+// Requests that waited when the target said that it leaves may still be dispatched this long.
+constexpr Milliseconds kLeavingDispatchMs = 800;
+constexpr Milliseconds kUnreachableMs = 500;
+constexpr Milliseconds kConnectMs = 1000;
 
 HttpRequest
-MakeTargetRequest(const CallT& aCall, std::string_view aHost, Milliseconds aLeftMs)
+MakeTargetRequest(const CallT& aCall, const routing::TargetReport& aTarget, Milliseconds aLeftMs)
 {
   HttpRequest request = RequestFrom(aCall);
   if (request.count(http::field::host) == 0) {
-    request.set(http::field::host, aHost);
+    request.set(http::field::host, aTarget.m_address);
   }
+  if (!aTarget.m_id.empty()) {
+    request.set(adapter::kExpectedTarget, aTarget.m_id);
+  }
+  if (!aCall.caller_service.empty()) {
+    request.set(adapter::kCallerService, aCall.caller_service);
+  }
+  request.set(adapter::kDeadlineMs, std::to_string(aLeftMs));
   request.set("traceparent",
               TraceparentText({ .m_traceHigh = aCall.trace_high,
                                 .m_traceLow = aCall.trace_low,
@@ -41,23 +53,36 @@
   return request;
 }
 
+// A target that turned the request away says so; anything else of it is its answer.
+bool
+WasTurnedAway(const net::HttpResponse& aResponse)
+{
+  const bool own = aResponse.result() == http::status::service_unavailable &&
+                   aResponse[std::string(kOutcomeHeader)] == "not_run";
+  return own || aResponse.count(adapter::kNotRun) > 0 ||
+         (aResponse.result() == http::status::misdirected_request &&
+          aResponse.count(adapter::kTargetSignature) == 0);
+}
+
 AnswerT
 AnswerFrom(HttpResult aResult)
 {
   AnswerT answer;
+  answer.arrived = true;
   if (!aResult.m_response) {
-    answer.outcome =
-      aResult.m_failure == net::HttpFailure::NotSent ? CallOutcome::NotRun : CallOutcome::Unknown;
-    answer.reason = fmt::format("the target's connection failed ({})", aResult.m_reason);
+    answer.arrived = aResult.m_failure != net::HttpFailure::NotSent;
+    answer.outcome = answer.arrived ? CallOutcome::Unknown : CallOutcome::NotRun;
+    answer.timed_out = aResult.m_failure == net::HttpFailure::TimedOut;
+    answer.reason = fmt::format("the target's connection failed ({}{})",
+                                aResult.m_reason,
+                                aResult.m_reused ? ", reused" : "");
     return answer;
   }
   const net::HttpResponse& response = *aResult.m_response;
-  // A target that sheds says so; anything else of it is its answer.
-  if (response.result() == http::status::service_unavailable &&
-      response[std::string(kOutcomeHeader)] == "not_run") {
+  if (WasTurnedAway(response)) {
     answer.outcome = CallOutcome::NotRun;
-    answer.overloaded = true;
-    answer.reason = "the target shed the request";
+    answer.overloaded = response.result() != http::status::misdirected_request;
+    answer.reason = fmt::format("the target turned the request away ({})", response.result_int());
     return answer;
   }
   answer.outcome = CallOutcome::Done;
@@ -69,6 +94,14 @@
 
 } // namespace
 
+void
+Abandon(TargetRun& aRun)
+{
+  if (aRun.m_repeatable || !aRun.m_dispatched) {
+    aRun.m_cancel.emit(net::asio::cancellation_type::terminal);
+  }
+}
+
 // A request in the gate's queue; the timer is cancelled when the gate has decided.
 struct TargetRunner::Waiting
 {
@@ -105,16 +138,26 @@
 }
 
 void
-TargetRunner::SetTarget(const TargetAnnouncement& aAnnouncement)
+TargetRunner::SetTarget(const routing::TargetReport& aReport)
 {
-  if (!m_client || aAnnouncement.m_address != m_target.m_address) {
+  const bool another = !m_client || aReport.m_address != m_target.m_address ||
+                       aReport.m_id != m_target.m_id || aReport.m_bornMs != m_target.m_bornMs;
+  if (another) {
     net::HttpClientOptions options;
-    options.m_endpoint = Handle([&] { return net::ParseAddress(aAnnouncement.m_address); },
+    options.m_endpoint = Handle([&] { return net::ParseAddress(aReport.m_address); },
                                 [](const Error&) { return net::tcp::endpoint(); });
-    options.m_maxIdle = aAnnouncement.m_slots;
+    options.m_connectMs = kConnectMs;
+    options.m_maxIdle = aReport.m_slots;
     m_client = std::make_shared<net::HttpClient>(m_context, options);
+    m_leavingSince.reset();
+    m_unreachableUntil = {};
   }
-  m_target = aAnnouncement;
+  if (aReport.m_leaving && !m_leavingSince) {
+    m_leavingSince = Clock::Now();
+  } else if (!aReport.m_leaving) {
+    m_leavingSince.reset();
+  }
+  m_target = aReport;
   m_present = true;
   ApplyServiceLimits(m_target.m_service);
 }
@@ -206,28 +249,49 @@
 }
 
 Awaitable<AnswerT>
-TargetRunner::Dispatch(const CallT& aCall, Instant aDeadline)
+TargetRunner::Dispatch(const CallT& aCall, Instant aDeadline, std::shared_ptr<TargetRun> aRun)
 {
   // Checked again right before the request goes out: a pause may have used up the time.
   const Milliseconds left = aDeadline - Clock::Now();
   if (left <= 0) {
     co_return Refuse("the deadline passed in the queue", false);
   }
+  if (m_leavingSince && Clock::Now() - *m_leavingSince > kLeavingDispatchMs) {
+    co_return Refuse("the target leaves", false);
+  }
+  aRun->m_dispatched = true;
   m_shared.m_calls.m_dispatched.fetch_add(1, std::memory_order_relaxed);
   const std::shared_ptr<net::HttpClient> client = m_client;
-  HttpResult result =
-    co_await client->Send(MakeTargetRequest(aCall, m_target.m_address, left), left);
+  const std::string id = aCall.request_id;
+  HttpRequest request = MakeTargetRequest(aCall, m_target, left);
+  net::HttpClient::Belongs belongs = [&id](const net::HttpResponse& aResponse) {
+    return id.empty() || aResponse[adapter::kRequestId] == id;
+  };
+  HttpResult result = co_await client->Send(std::move(request), left, std::move(belongs));
+  if (!result.m_response && result.m_failure == net::HttpFailure::NotSent) {
+    m_unreachableUntil = Clock::Now() + kUnreachableMs;
+  }
   co_return AnswerFrom(std::move(result));
 }
 
-Awaitable<AnswerT>
-TargetRunner::Run(CallT aCall, std::string aCaller)
+std::string
+TargetRunner::WhyNoNewWork(const CallT& aCall) const
 {
-  if (m_stopping || !m_present || m_target.m_draining) {
-    co_return Refuse("the target here takes no new work", false);
+  if (m_stopping || !m_present || m_target.m_leaving) {
+    return "the target here takes no new work";
   }
   if (aCall.service != m_target.m_service) {
-    co_return Refuse("the target here is of another service", false);
+    return "the target here is of another service";
+  }
+  return Clock::Now() < m_unreachableUntil ? "the target refuses connections" : "";
+}
+
+Awaitable<AnswerT>
+TargetRunner::Run(CallT aCall, std::string aCaller, std::shared_ptr<TargetRun> aRun)
+{
+  const std::string obstacle = WhyNoNewWork(aCall);
+  if (!obstacle.empty()) {
+    co_return Refuse(obstacle, false);
   }
   ApplyServiceLimits(aCall.service);
   const Instant deadline = Clock::Now() + aCall.timeout_ms;
@@ -247,7 +311,7 @@
     }
   };
   const Release release{ .m_runner = *this, .m_startUs = Clock::NowMicroseconds() };
-  AnswerT answer = co_await Dispatch(aCall, deadline);
+  AnswerT answer = co_await Dispatch(aCall, deadline, aRun);
   answer.outstanding = static_cast<std::uint16_t>(Outstanding());
   co_return answer;
 }
--- a/modules/node/src/TargetRunner.h
+++ b/modules/node/src/TargetRunner.h
@@ -7,40 +7,50 @@
 #include "Messages_generated.h"
 #include "Shared.h"
 #include "SlotGate.h"
+#include "TargetRecord.h"
 
+#include <boost/asio/cancellation_signal.hpp>
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 
 namespace sequoiastep::node {
 
-/// What the target said of itself.
-struct TargetAnnouncement
+/// One call at the target, as those who wait for it see it.
+struct TargetRun
 {
-  std::string m_service;
-  std::string m_address;
-  std::uint16_t m_slots = 1;
-  std::uint32_t m_warmUpMs = 0;
-  Milliseconds m_ttlMs = 3000;
-  bool m_draining = false;
+  /// Ends the call; see Abandon.
+  net::asio::cancellation_signal m_cancel;
+  bool m_repeatable = false;
+  /// Bytes of it may have reached the target.
+  bool m_dispatched = false;
 };
 
+/// Nobody waits for the call any more. What waits is dropped and what may be repeated is broken
+/// off; what may run only once and was started is left to end by itself.
+void
+Abandon(TargetRun& aRun);
+
 /// Runs on the calls thread only.
 class TargetRunner
 {
 public:
   TargetRunner(net::asio::io_context& aContext, Shared& aShared);
 
-  /// Takes the target's latest announcement.
-  void SetTarget(const TargetAnnouncement& aAnnouncement);
+  /// Takes the target's latest report.
+  void SetTarget(const routing::TargetReport& aReport);
   /// The target was silent beyond its time to live: it gets no new work.
   void LoseTarget();
   /// New work is refused from now on; what is queued or runs goes on.
   void StopTakingWork();
   /// Runs a call at the target. Cancelling the coroutine closes the target's connection.
   /// @param aCaller the node it came from, for fair turns.
-  net::Awaitable<wire::AnswerT> Run(wire::CallT aCall, std::string aCaller);
+  /// @param aRun told when the call is dispatched.
+  net::Awaitable<wire::AnswerT> Run(wire::CallT aCall,
+                                    std::string aCaller,
+                                    std::shared_ptr<TargetRun> aRun);
   /// @return requests that run or wait here.
   std::uint32_t Outstanding() const;
   /// Sheds what waited too long. Called every few milliseconds.
@@ -50,7 +60,10 @@
   struct Waiting;
 
   net::Awaitable<bool> Admit(std::uint64_t aId, std::string aCaller, Instant aDeadline);
-  net::Awaitable<wire::AnswerT> Dispatch(const wire::CallT& aCall, Instant aDeadline);
+  net::Awaitable<wire::AnswerT> Dispatch(const wire::CallT& aCall,
+                                         Instant aDeadline,
+                                         std::shared_ptr<TargetRun> aRun);
+  std::string WhyNoNewWork(const wire::CallT& aCall) const;
   void Apply(const routing::GateDecision& aDecision);
   void ApplyServiceLimits(const std::string& aService);
   wire::AnswerT Refuse(std::string_view aReason, bool aOverloaded) const;
@@ -58,7 +71,11 @@
   net::asio::io_context& m_context;
   Shared& m_shared;
   routing::SlotGate m_gate;
-  TargetAnnouncement m_target;
+  routing::TargetReport m_target;
+  /// When the target said that it leaves.
+  std::optional<Instant> m_leavingSince;
+  /// It refused connections; it gets no call before this instant.
+  Instant m_unreachableUntil;
   std::shared_ptr<net::HttpClient> m_client;
   std::map<std::uint64_t, Waiting*> m_waiting;
   std::uint64_t m_nextId = 1;
--- a/modules/platform/include/LogClient.h
+++ b/modules/platform/include/LogClient.h
@@ -2,58 +2,16 @@
 /// Client of the platform's append-only log, on a thread of its own.
 #pragma once
 
-#include "Clock.h"
+#include "LogTypes.h"
 
 #include <cstdint>
 #include <functional>
 #include <memory>
-#include <optional>
 #include <string>
-#include <vector>
+#include <string_view>
 
 namespace sequoiastep::platform {
 
-/// One record of a stream.
-struct LogEntry
-{
-  std::uint64_t m_offset = 0;
-  std::string m_body;
-};
-
-/// How a read ended.
-enum class ReadStatus
-{
-  Ok,
-  /// The records asked for are no longer kept; m_first tells what is.
-  Expired,
-  Failed,
-};
-
-struct ReadReply
-{
-  ReadStatus m_status = ReadStatus::Failed;
-  std::vector<LogEntry> m_entries;
-  std::uint64_t m_first = 0;
-  /// Offset that the stream gives out next; nothing if the log did not tell.
-  std::optional<std::uint64_t> m_next;
-};
-
-/// How an append ended.
-enum class AppendStatus
-{
-  Appended,
-  /// The log said that it did not take the record.
-  Refused,
-  /// No whole answer came: the record may be in the log.
-  Unknown,
-};
-
-struct AppendReply
-{
-  AppendStatus m_status = AppendStatus::Unknown;
-  std::uint64_t m_offset = 0;
-};
-
 struct LogClientOptions
 {
   /// IP:PORT of the log.
@@ -80,6 +38,7 @@
 {
 public:
   using OnRead = std::function<void(ReadReply)>;
+  using OnNewest = std::function<void(NewestReply)>;
   using OnAppend = std::function<void(AppendReply)>;
 
   explicit LogClient(LogClientOptions aOptions);
@@ -88,16 +47,20 @@
   LogClient(const LogClient&) = delete;
   LogClient& operator=(const LogClient&) = delete;
 
-  /// Reads records of aStream at or after aFrom, at most aMost, waiting up to aWaitMs for one.
-  void Read(const std::string& aStream,
+  /// Reads records of aTopic at or after aFrom, waiting up to aWaitMs for one.
+  void Read(const std::string& aTopic,
             std::uint64_t aFrom,
-            std::uint32_t aMost,
             Milliseconds aWaitMs,
             const OnRead& aHandler);
-  /// Reads up to aMost of the newest records of aStream.
-  void ReadNewest(const std::string& aStream, std::uint32_t aMost, const OnRead& aHandler);
-  /// Appends one record to aStream.
-  void Append(const std::string& aStream, const std::string& aBody, const OnAppend& aHandler);
+  /// Reads the newest record of each key of a keyed topic.
+  void ReadNewest(const std::string& aTopic, const OnNewest& aHandler);
+  /// Appends one record to aTopic.
+  void Append(const std::string& aTopic, const std::string& aBody, const OnAppend& aHandler);
+  /// Appends the newest record of aKey to a keyed topic.
+  void AppendKeyed(const std::string& aTopic,
+                   std::string_view aKey,
+                   std::string_view aValue,
+                   const OnAppend& aHandler);
   /// @return the counts so far.
   LogClientCounts Counts() const;
 
--- a/modules/platform/src/LogClient.cpp
+++ b/modules/platform/src/LogClient.cpp
@@ -2,19 +2,16 @@
 
 #include "Address.h"
 #include "AsioTypes.h"
-#include "Base64.h"
 #include "HttpClient.h"
 #include "Ring.h"
+#include "StoreCalls.h"
 
 #include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
-#include <boost/json.hpp>
-#include <fmt/core.h>
 #include <thread>
 
 namespace sequoiastep::platform {
 
-namespace json = boost::json;
 namespace http = net::http;
 
 using net::Awaitable;
@@ -51,23 +48,10 @@
 
 namespace {
 
-struct StreamBounds
-{
-  std::uint64_t m_first = 0;
-  std::uint64_t m_next = 0;
-};
-
-HttpRequest
-MakeRequest(const LogClientState& aState, http::verb aMethod, std::string_view aTarget)
-{
-  HttpRequest request(aMethod, aTarget, 11);
-  request.set(http::field::host, aState.m_options.m_address);
-  return request;
-}
-
 Awaitable<HttpResult>
 Exchange(LogClientState& aState, HttpRequest aRequest, Milliseconds aExtraMs)
 {
+  aRequest.set(http::field::host, aState.m_options.m_address);
   aState.m_requests.fetch_add(1);
   aState.m_sent.fetch_add(aRequest.body().size());
   HttpResult result =
@@ -80,161 +64,48 @@
   co_return result;
 }
 
-std::optional<json::object>
-ParseBody(const HttpResponse& aResponse)
-{
-  boost::system::error_code error;
-  json::value value = json::parse(aResponse.body(), error);
-  if (error || !value.is_object()) {
-    return std::nullopt;
-  }
-  return std::move(value.as_object());
-}
-
-std::uint64_t
-NumberOr(const json::object& aObject, std::string_view aKey, std::uint64_t aDefault)
-{
-  const json::value* value = aObject.if_contains(aKey);
-  if (value == nullptr) {
-    return aDefault;
-  }
-  boost::system::error_code error;
-  const auto number = value->to_number<std::uint64_t>(error);
-  return error ? aDefault : number;
-}
-
-// Takes one record of a read's answer. Gives nothing if it is malformed.
-std::optional<LogEntry>
-ParseEntry(const json::value& aValue)
-{
-  const json::object* record = aValue.if_object();
-  const json::value* body = record == nullptr ? nullptr : record->if_contains("body");
-  if (body == nullptr || !body->is_string() || !record->contains("offset")) {
-    return std::nullopt;
-  }
-  auto decoded = DecodeBase64(body->get_string());
-  if (!decoded) {
-    return std::nullopt;
-  }
-  return LogEntry{ .m_offset = NumberOr(*record, "offset", 0), .m_body = std::move(*decoded) };
-}
-
-ReadReply
-ParseRead(const HttpResult& aResult)
-{
-  ReadReply reply;
-  if (!aResult.m_response) {
-    return reply;
-  }
-  const auto body = ParseBody(*aResult.m_response);
-  if (!body) {
-    return reply;
-  }
-  if (aResult.m_response->result() == http::status::gone) {
-    reply.m_status = ReadStatus::Expired;
-    reply.m_first = NumberOr(*body, "first", 0);
-    return reply;
-  }
-  const json::value* records = body->if_contains("records");
-  if (aResult.m_response->result() != http::status::ok || records == nullptr ||
-      !records->is_array()) {
-    return reply;
-  }
-  for (const json::value& record : records->get_array()) {
-    auto entry = ParseEntry(record);
-    if (!entry) {
-      return { .m_status = ReadStatus::Failed, .m_entries = {}, .m_first = 0 };
-    }
-    reply.m_entries.push_back(std::move(*entry));
-  }
-  if (body->contains("next")) {
-    reply.m_next = NumberOr(*body, "next", 0);
-  }
-  reply.m_status = ReadStatus::Ok;
-  return reply;
-}
-
-AppendReply
-ParseAppend(const HttpResult& aResult)
-{
-  if (!aResult.m_response) {
-    const bool notSent = aResult.m_failure == net::HttpFailure::NotSent;
-    return { .m_status = notSent ? AppendStatus::Refused : AppendStatus::Unknown, .m_offset = 0 };
-  }
-  const http::status status = aResult.m_response->result();
-  if (status == http::status::created) {
-    const auto body = ParseBody(*aResult.m_response);
-    return { .m_status = AppendStatus::Appended,
-             .m_offset = body ? NumberOr(*body, "offset", 0) : 0 };
-  }
-  const bool refused = status == http::status::too_many_requests ||
-                       status == http::status::service_unavailable ||
-                       http::to_status_class(status) == http::status_class::client_error;
-  return { .m_status = refused ? AppendStatus::Refused : AppendStatus::Unknown, .m_offset = 0 };
-}
-
 Awaitable<ReadReply>
-ReadRange(LogClientState& aState,
-          std::string aStream,
-          std::uint64_t aFrom,
-          std::uint32_t aMost,
-          Milliseconds aWaitMs)
+ReadRange(LogClientState& aState, std::string aTopic, std::uint64_t aFrom, Milliseconds aWaitMs)
 {
-  const std::string target =
-    fmt::format("/v1/streams/{}/records?from={}&max={}&wait_ms={}", aStream, aFrom, aMost, aWaitMs);
-  HttpResult result =
-    co_await Exchange(aState, MakeRequest(aState, http::verb::get, target), aWaitMs);
-  co_return ParseRead(result);
+  HttpResult result = co_await Exchange(aState, adapter::MakeRead(aTopic, aFrom, aWaitMs), aWaitMs);
+  co_return result.m_response ? adapter::ParseRead(*result.m_response, aFrom) : ReadReply{};
 }
 
-Awaitable<std::optional<StreamBounds>>
-ReadBounds(LogClientState& aState, std::string aStream)
+Awaitable<NewestReply>
+ReadAllKeys(LogClientState& aState, std::string aTopic)
 {
-  HttpRequest request =
-    MakeRequest(aState, http::verb::get, fmt::format("/v1/streams/{}", aStream));
-  HttpResult result = co_await Exchange(aState, std::move(request), 0);
-  if (!result.m_response || result.m_response->result() != http::status::ok) {
-    co_return std::nullopt;
-  }
-  const auto body = ParseBody(*result.m_response);
-  if (!body) {
-    co_return std::nullopt;
-  }
-  co_return StreamBounds{ .m_first = NumberOr(*body, "first", 0),
-                          .m_next = NumberOr(*body, "next", 0) };
+  NewestReply whole;
+  std::string after;
+  do {
+    HttpResult result = co_await Exchange(aState, adapter::MakeReadNewest(aTopic, after), 0);
+    NewestReply page = result.m_response ? adapter::ParseNewest(*result.m_response) : NewestReply{};
+    if (!page.m_ok || (page.m_hasMore && page.m_entries.empty())) {
+      co_return NewestReply{};
+    }
+    if (!whole.m_ok) {
+      // What changes while later pages are read lies after the first page's end.
+      whole.m_next = page.m_next;
+    }
+    whole.m_ok = true;
+    whole.m_hasMore = page.m_hasMore;
+    for (KeyedEntry& entry : page.m_entries) {
+      after = entry.m_key;
+      whole.m_entries.push_back(std::move(entry));
+    }
+  } while (whole.m_hasMore);
+  co_return whole;
 }
 
-// Offsets need not be contiguous, so the window doubles until it holds enough records.
-Awaitable<ReadReply>
-ReadNewestOf(LogClientState& aState, std::string aStream, std::uint32_t aMost)
+Awaitable<AppendReply>
+AppendOne(LogClientState& aState, std::string aTopic, std::string aBody)
 {
-  const auto bounds = co_await ReadBounds(aState, aStream);
-  if (!bounds) {
-    co_return ReadReply{};
-  }
-  ReadReply reply;
-  reply.m_status = ReadStatus::Ok;
-  std::uint64_t window = aMost;
-  while (bounds->m_next > bounds->m_first) {
-    const std::uint64_t span = bounds->m_next - bounds->m_first;
-    const std::uint64_t from = bounds->m_next - std::min(window, span);
-    reply = co_await ReadRange(aState,
-                               aStream,
-                               from,
-                               static_cast<std::uint32_t>(std::min<std::uint64_t>(window, 10'000)),
-                               0);
-    const bool enough = reply.m_entries.size() >= aMost || window >= span;
-    if (reply.m_status != ReadStatus::Ok || enough) {
-      break;
-    }
-    window *= 4;
-  }
-  const std::size_t size = reply.m_entries.size();
-  if (size > aMost) {
-    reply.m_entries.erase(reply.m_entries.begin(),
-                          reply.m_entries.end() - static_cast<std::ptrdiff_t>(aMost));
+  HttpResult result = co_await Exchange(aState, adapter::MakeAppend(aTopic, aBody), 0);
+  if (result.m_response) {
+    co_return adapter::ParseAppend(*result.m_response);
   }
-  co_return reply;
+  const bool notSent = result.m_failure == net::HttpFailure::NotSent;
+  co_return AppendReply{ .m_status = notSent ? AppendStatus::Refused : AppendStatus::Unknown,
+                         .m_offset = 0 };
 }
 
 // Runs one job on the client's thread. Returns false if too many wait.
@@ -270,16 +141,15 @@
 }
 
 void
-LogClient::Read(const std::string& aStream,
+LogClient::Read(const std::string& aTopic,
                 std::uint64_t aFrom,
-                std::uint32_t aMost,
                 Milliseconds aWaitMs,
                 const OnRead& aHandler)
 {
   LogClientState& state = *m_state;
   const bool accepted =
-    Submit(state, [&state, aStream, aFrom, aMost, aWaitMs, aHandler]() -> Awaitable<void> {
-      ReadReply reply = co_await ReadRange(state, aStream, aFrom, aMost, aWaitMs);
+    Submit(state, [&state, aTopic, aFrom, aWaitMs, aHandler]() -> Awaitable<void> {
+      ReadReply reply = co_await ReadRange(state, aTopic, aFrom, aWaitMs);
       aHandler(std::move(reply));
     });
   if (!accepted) {
@@ -288,11 +158,11 @@
 }
 
 void
-LogClient::ReadNewest(const std::string& aStream, std::uint32_t aMost, const OnRead& aHandler)
+LogClient::ReadNewest(const std::string& aTopic, const OnNewest& aHandler)
 {
   LogClientState& state = *m_state;
-  const bool accepted = Submit(state, [&state, aStream, aMost, aHandler]() -> Awaitable<void> {
-    ReadReply reply = co_await ReadNewestOf(state, aStream, aMost);
+  const bool accepted = Submit(state, [&state, aTopic, aHandler]() -> Awaitable<void> {
+    NewestReply reply = co_await ReadAllKeys(state, aTopic);
     aHandler(std::move(reply));
   });
   if (!accepted) {
@@ -301,22 +171,27 @@
 }
 
 void
-LogClient::Append(const std::string& aStream, const std::string& aBody, const OnAppend& aHandler)
+LogClient::Append(const std::string& aTopic, const std::string& aBody, const OnAppend& aHandler)
 {
   LogClientState& state = *m_state;
-  const bool accepted = Submit(state, [&state, aStream, aBody, aHandler]() -> Awaitable<void> {
-    HttpRequest request =
-      MakeRequest(state, http::verb::post, fmt::format("/v1/streams/{}/records", aStream));
-    request.body() = aBody;
-    request.prepare_payload();
-    HttpResult result = co_await Exchange(state, std::move(request), 0);
-    aHandler(ParseAppend(result));
+  const bool accepted = Submit(state, [&state, aTopic, aBody, aHandler]() -> Awaitable<void> {
+    AppendReply reply = co_await AppendOne(state, aTopic, aBody);
+    aHandler(reply);
   });
   if (!accepted) {
     aHandler({ .m_status = AppendStatus::Refused, .m_offset = 0 });
   }
 }
 
+void
+LogClient::AppendKeyed(const std::string& aTopic,
+                       std::string_view aKey,
+                       std::string_view aValue,
+                       const OnAppend& aHandler)
+{
+  Append(aTopic, adapter::EncodeKeyed(aKey, aValue), aHandler);
+}
+
 LogClientCounts
 LogClient::Counts() const
 {
--- a/modules/routing/include/Retry.h
+++ b/modules/routing/include/Retry.h
@@ -6,6 +6,7 @@
 #include "Documents.h"
 
 #include <cstdint>
+#include <deque>
 
 namespace sequoiastep::routing {
 
@@ -13,43 +14,90 @@
 enum class AttemptOutcome
 {
   Done,
-  /// It was certainly not run.
+  /// It was certainly not run, and its target did not see it.
   NotRun,
-  /// It was not run because the target is full.
+  /// It was not run because the node beside the target has no room; the target did not see it.
   Overloaded,
+  /// Its target turned it away: it was not run.
+  TurnedAway,
+  /// The target ran it and failed.
+  Failed,
   /// It may have been run.
   Unknown,
 };
 
-/// Retries as a share of calls, so that a failing service is not flooded.
+/// What a node may spend on repeats to one service. All nodes share one allowance, each by its own
+/// requests and an equal part of the extra.
+struct RetryAllowance
+{
+  /// Repeats for each request.
+  double m_ratio = 0.1;
+  /// Repeats in a window besides.
+  double m_extra = 10;
+  Milliseconds m_windowMs = 10'000;
+};
+
+/// Requests and repeats of a short span.
+struct RetrySpan
+{
+  Instant m_start;
+  std::uint32_t m_requests = 0;
+  std::uint32_t m_repeats = 0;
+};
+
+/// Repeats of the latest window, so that a failing service is not flooded.
 struct RetryBudget
 {
-  /// Retries earned by each call.
-  double m_share = 0.1;
-  /// Most retries that can be saved up.
-  double m_most = 20;
-  double m_saved = 10;
+  RetryAllowance m_allowance;
+  /// Oldest first.
+  std::deque<RetrySpan> m_spans;
 };
 
 /// Notes a call that came from outside.
 void
-EarnRetry(RetryBudget& aBudget);
+NoteRequest(RetryBudget& aBudget, Instant aNow);
+
+/// Spends one repeat.
+/// @return false if the window's allowance is used up.
+bool
+TakeRepeat(RetryBudget& aBudget, Instant aNow);
+
+/// Gives back a repeat that its target never saw.
+void
+ReturnRepeat(RetryBudget& aBudget, Instant aNow);
 
 /// One call that may be tried again.
 struct RetryQuestion
 {
   AttemptOutcome m_outcome = AttemptOutcome::Done;
   config::Repeat m_repeat = config::Repeat::Never;
-  std::uint32_t m_attempts = 1;
+  /// Nodes that it was handed to so far.
+  std::uint32_t m_handovers = 1;
+  /// Targets that may have seen it so far.
+  std::uint32_t m_arrivals = 0;
+  std::uint32_t m_maxAttempts = kDefaultAttempts;
   Milliseconds m_leftMs = 0;
+
+  /// Attempts of one call, the first included, if its route does not say.
+  static constexpr std::uint32_t kDefaultAttempts = 3;
 };
 
-/// Attempts of one call, the first included.
-constexpr std::uint32_t kMostAttempts = 3;
+/// Most nodes that one call is handed to.
+constexpr std::uint32_t kMostHandovers = 6;
 
-/// @return true if the call may be tried again. The budget is charged if the attempt reached a
-/// target or a full queue.
-bool
-MayRetry(RetryBudget& aBudget, const RetryQuestion& aQuestion);
+/// What to do after an attempt.
+enum class RetryVerdict
+{
+  /// The answer stands.
+  Stop,
+  /// Try another target; the budget is not touched.
+  TryFree,
+  /// Try another target; the budget was charged.
+  TryCharged,
+};
+
+/// @return whether the call may be tried again. A repeat is charged if a target has seen the call.
+RetryVerdict
+MayRetry(RetryBudget& aBudget, const RetryQuestion& aQuestion, Instant aNow);
 
 } // namespace sequoiastep::routing
--- /dev/null
+++ b/modules/routing/src/TargetRecord.cpp
@@ -0,0 +1,81 @@
+#include "TargetRecord.h"
+
+namespace sequoiastep::routing {
+
+namespace {
+
+bool
+IsSameIncarnation(const TargetReport& aLeft, const TargetReport& aRight)
+{
+  return aLeft.m_id == aRight.m_id && aLeft.m_bornMs == aRight.m_bornMs;
+}
+
+bool
+IsSameState(const TargetReport& aLeft, const TargetReport& aRight)
+{
+  return aLeft.m_service == aRight.m_service && aLeft.m_address == aRight.m_address &&
+         aLeft.m_slots == aRight.m_slots && aLeft.m_leaving == aRight.m_leaving &&
+         (aLeft.m_warmUpMs == 0) == (aRight.m_warmUpMs == 0);
+}
+
+bool
+HasLeft(const TargetRecord& aRecord, const TargetReport& aReport)
+{
+  return !aRecord.m_leftId.empty() && aReport.m_id == aRecord.m_leftId &&
+         aReport.m_bornMs <= aRecord.m_leftBornMs;
+}
+
+// Start times come from clocks that may jump: a silent target gives way in any case.
+bool
+Replaces(const TargetRecord& aRecord, const TargetReport& aReport, Instant aNow)
+{
+  const TargetReport& newest = *aRecord.m_newest;
+  if (aReport.m_bornMs != newest.m_bornMs) {
+    const bool silent = aNow - aRecord.m_heardAt >= kSilentTargetMs;
+    return aReport.m_bornMs > newest.m_bornMs || (silent && aReport.m_id != newest.m_id);
+  }
+  return aReport.m_id != newest.m_id;
+}
+
+} // namespace
+
+ReportVerdict
+TakeReport(TargetRecord& aRecord, const TargetReport& aReport, Instant aNow)
+{
+  if (HasLeft(aRecord, aReport)) {
+    return ReportVerdict::Outdated;
+  }
+  if (aRecord.m_newest && IsSameIncarnation(*aRecord.m_newest, aReport)) {
+    if (aReport.m_sequence <= aRecord.m_newest->m_sequence) {
+      return ReportVerdict::Outdated;
+    }
+    const bool same = IsSameState(*aRecord.m_newest, aReport);
+    aRecord.m_newest = aReport;
+    aRecord.m_heardAt = aNow;
+    return same ? ReportVerdict::Same : ReportVerdict::Changed;
+  }
+  if (aRecord.m_newest && !Replaces(aRecord, aReport, aNow)) {
+    return ReportVerdict::Outdated;
+  }
+  aRecord.m_newest = aReport;
+  aRecord.m_heardAt = aNow;
+  return ReportVerdict::NewTarget;
+}
+
+bool
+TakeLeave(TargetRecord& aRecord, const std::string& aId, std::optional<std::int64_t> aBornMs)
+{
+  const bool known = aRecord.m_newest && aRecord.m_newest->m_id == aId &&
+                     aBornMs.value_or(aRecord.m_newest->m_bornMs) >= aRecord.m_newest->m_bornMs;
+  if (known) {
+    aRecord.m_newest->m_leaving = true;
+    aRecord.m_leftId = aId;
+    aRecord.m_leftBornMs = aRecord.m_newest->m_bornMs;
+  } else if (!aRecord.m_newest && aBornMs) {
+    aRecord.m_leftId = aId;
+    aRecord.m_leftBornMs = *aBornMs;
+  }
+  return known;
+}
+
+} // namespace sequoiastep::routing
--- a/modules/wire/include/Messages_generated.h
+++ b/modules/wire/include/Messages_generated.h
@@ -2428,6 +2428,11 @@
   bool forwarded = false;
   int64_t sent_ms = 0;
   bool claimed = false;
+  std::string caller_service{};
+  std::string request_id{};
+  bool repeatable = false;
+  uint32_t priority = 0;
+  int32_t objective_ms = 0;
   CallT() = default;
   CallT(const CallT &o);
   CallT(CallT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2454,7 +2459,12 @@
     VT_KEY = 28,
     VT_FORWARDED = 30,
     VT_SENT_MS = 32,
-    VT_CLAIMED = 34
+    VT_CLAIMED = 34,
+    VT_CALLER_SERVICE = 36,
+    VT_REQUEST_ID = 38,
+    VT_REPEATABLE = 40,
+    VT_PRIORITY = 42,
+    VT_OBJECTIVE_MS = 44
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -2505,6 +2515,26 @@
   bool claimed() const {
     return GetField<uint8_t>(VT_CLAIMED, 0) != 0;
   }
+  /// Service of the host that the call began at.
+  const flatbuffers::String *caller_service() const {
+    return GetPointer<const flatbuffers::String *>(VT_CALLER_SERVICE);
+  }
+  /// The request's own id, which its answer must bear; empty if it has none.
+  const flatbuffers::String *request_id() const {
+    return GetPointer<const flatbuffers::String *>(VT_REQUEST_ID);
+  }
+  /// The request may run more than once.
+  bool repeatable() const {
+    return GetField<uint8_t>(VT_REPEATABLE, 0) != 0;
+  }
+  /// Rank of the route; 0 comes first.
+  uint32_t priority() const {
+    return GetField<uint32_t>(VT_PRIORITY, 0);
+  }
+  /// What is left of the latency objective; negative if it has passed.
+  int32_t objective_ms() const {
+    return GetField<int32_t>(VT_OBJECTIVE_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -2530,6 +2560,13 @@
            VerifyField<uint8_t>(verifier, VT_FORWARDED, 1) &&
            VerifyField<int64_t>(verifier, VT_SENT_MS, 8) &&
            VerifyField<uint8_t>(verifier, VT_CLAIMED, 1) &&
+           VerifyOffset(verifier, VT_CALLER_SERVICE) &&
+           verifier.VerifyString(caller_service()) &&
+           VerifyOffset(verifier, VT_REQUEST_ID) &&
+           verifier.VerifyString(request_id()) &&
+           VerifyField<uint8_t>(verifier, VT_REPEATABLE, 1) &&
+           VerifyField<uint32_t>(verifier, VT_PRIORITY, 4) &&
+           VerifyField<int32_t>(verifier, VT_OBJECTIVE_MS, 4) &&
            verifier.EndTable();
   }
   CallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2589,6 +2626,21 @@
   void add_claimed(bool claimed) {
     fbb_.AddElement<uint8_t>(Call::VT_CLAIMED, static_cast<uint8_t>(claimed), 0);
   }
+  void add_caller_service(flatbuffers::Offset<flatbuffers::String> caller_service) {
+    fbb_.AddOffset(Call::VT_CALLER_SERVICE, caller_service);
+  }
+  void add_request_id(flatbuffers::Offset<flatbuffers::String> request_id) {
+    fbb_.AddOffset(Call::VT_REQUEST_ID, request_id);
+  }
+  void add_repeatable(bool repeatable) {
+    fbb_.AddElement<uint8_t>(Call::VT_REPEATABLE, static_cast<uint8_t>(repeatable), 0);
+  }
+  void add_priority(uint32_t priority) {
+    fbb_.AddElement<uint32_t>(Call::VT_PRIORITY, priority, 0);
+  }
+  void add_objective_ms(int32_t objective_ms) {
+    fbb_.AddElement<int32_t>(Call::VT_OBJECTIVE_MS, objective_ms, 0);
+  }
   explicit CallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2617,7 +2669,12 @@
     flatbuffers::Offset<flatbuffers::String> key = 0,
     bool forwarded = false,
     int64_t sent_ms = 0,
-    bool claimed = false) {
+    bool claimed = false,
+    flatbuffers::Offset<flatbuffers::String> caller_service = 0,
+    flatbuffers::Offset<flatbuffers::String> request_id = 0,
+    bool repeatable = false,
+    uint32_t priority = 0,
+    int32_t objective_ms = 0) {
   CallBuilder builder_(_fbb);
   builder_.add_sent_ms(sent_ms);
   builder_.add_parent_span(parent_span);
@@ -2625,6 +2682,10 @@
   builder_.add_trace_high(trace_high);
   builder_.add_version(version);
   builder_.add_id(id);
+  builder_.add_objective_ms(objective_ms);
+  builder_.add_priority(priority);
+  builder_.add_request_id(request_id);
+  builder_.add_caller_service(caller_service);
   builder_.add_key(key);
   builder_.add_timeout_ms(timeout_ms);
   builder_.add_body(body);
@@ -2632,6 +2693,7 @@
   builder_.add_target(target);
   builder_.add_method(method);
   builder_.add_service(service);
+  builder_.add_repeatable(repeatable);
   builder_.add_claimed(claimed);
   builder_.add_forwarded(forwarded);
   builder_.add_sampled(sampled);
@@ -2660,13 +2722,20 @@
     const char *key = nullptr,
     bool forwarded = false,
     int64_t sent_ms = 0,
-    bool claimed = false) {
+    bool claimed = false,
+    const char *caller_service = nullptr,
+    const char *request_id = nullptr,
+    bool repeatable = false,
+    uint32_t priority = 0,
+    int32_t objective_ms = 0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto method__ = method ? _fbb.CreateString(method) : 0;
   auto target__ = target ? _fbb.CreateString(target) : 0;
   auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<sequoiastep::wire::Header>>(*headers) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
   auto key__ = key ? _fbb.CreateString(key) : 0;
+  auto caller_service__ = caller_service ? _fbb.CreateString(caller_service) : 0;
+  auto request_id__ = request_id ? _fbb.CreateString(request_id) : 0;
   return sequoiastep::wire::CreateCall(
       _fbb,
       id,
@@ -2684,7 +2753,12 @@
       key__,
       forwarded,
       sent_ms,
-      claimed);
+      claimed,
+      caller_service__,
+      request_id__,
+      repeatable,
+      priority,
+      objective_ms);
 }
 
 flatbuffers::Offset<Call> CreateCall(flatbuffers::FlatBufferBuilder &_fbb, const CallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2699,6 +2773,9 @@
   std::vector<uint8_t> body{};
   uint16_t outstanding = 0;
   bool overloaded = false;
+  bool arrived = false;
+  uint32_t retry_after_ms = 0;
+  bool timed_out = false;
   AnswerT() = default;
   AnswerT(const AnswerT &o);
   AnswerT(AnswerT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2717,7 +2794,10 @@
     VT_HEADERS = 12,
     VT_BODY = 14,
     VT_OUTSTANDING = 16,
-    VT_OVERLOADED = 18
+    VT_OVERLOADED = 18,
+    VT_ARRIVED = 20,
+    VT_RETRY_AFTER_MS = 22,
+    VT_TIMED_OUT = 24
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -2743,6 +2823,18 @@
   bool overloaded() const {
     return GetField<uint8_t>(VT_OVERLOADED, 0) != 0;
   }
+  /// Bytes of the request may have reached the target, whatever came of it.
+  bool arrived() const {
+    return GetField<uint8_t>(VT_ARRIVED, 0) != 0;
+  }
+  /// When it is worth trying again, if the answerer can tell; 0 if not.
+  uint32_t retry_after_ms() const {
+    return GetField<uint32_t>(VT_RETRY_AFTER_MS, 0);
+  }
+  /// No answer came in time.
+  bool timed_out() const {
+    return GetField<uint8_t>(VT_TIMED_OUT, 0) != 0;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -2757,6 +2849,9 @@
            verifier.VerifyVector(body()) &&
            VerifyField<uint16_t>(verifier, VT_OUTSTANDING, 2) &&
            VerifyField<uint8_t>(verifier, VT_OVERLOADED, 1) &&
+           VerifyField<uint8_t>(verifier, VT_ARRIVED, 1) &&
+           VerifyField<uint32_t>(verifier, VT_RETRY_AFTER_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_TIMED_OUT, 1) &&
            verifier.EndTable();
   }
   AnswerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2792,6 +2887,15 @@
   void add_overloaded(bool overloaded) {
     fbb_.AddElement<uint8_t>(Answer::VT_OVERLOADED, static_cast<uint8_t>(overloaded), 0);
   }
+  void add_arrived(bool arrived) {
+    fbb_.AddElement<uint8_t>(Answer::VT_ARRIVED, static_cast<uint8_t>(arrived), 0);
+  }
+  void add_retry_after_ms(uint32_t retry_after_ms) {
+    fbb_.AddElement<uint32_t>(Answer::VT_RETRY_AFTER_MS, retry_after_ms, 0);
+  }
+  void add_timed_out(bool timed_out) {
+    fbb_.AddElement<uint8_t>(Answer::VT_TIMED_OUT, static_cast<uint8_t>(timed_out), 0);
+  }
   explicit AnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2812,14 +2916,20 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sequoiastep::wire::Header>>> headers = 0,
     flatbuffers::Offset<flatbuffers::Vector<uint8_t>> body = 0,
     uint16_t outstanding = 0,
-    bool overloaded = false) {
+    bool overloaded = false,
+    bool arrived = false,
+    uint32_t retry_after_ms = 0,
+    bool timed_out = false) {
   AnswerBuilder builder_(_fbb);
   builder_.add_id(id);
+  builder_.add_retry_after_ms(retry_after_ms);
   builder_.add_body(body);
   builder_.add_headers(headers);
   builder_.add_reason(reason);
   builder_.add_outstanding(outstanding);
   builder_.add_status(status);
+  builder_.add_timed_out(timed_out);
+  builder_.add_arrived(arrived);
   builder_.add_overloaded(overloaded);
   builder_.add_outcome(outcome);
   return builder_.Finish();
@@ -2839,7 +2949,10 @@
     const std::vector<flatbuffers::Offset<sequoiastep::wire::Header>> *headers = nullptr,
     const std::vector<uint8_t> *body = nullptr,
     uint16_t outstanding = 0,
-    bool overloaded = false) {
+    bool overloaded = false,
+    bool arrived = false,
+    uint32_t retry_after_ms = 0,
+    bool timed_out = false) {
   auto reason__ = reason ? _fbb.CreateString(reason) : 0;
   auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<sequoiastep::wire::Header>>(*headers) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
@@ -2852,7 +2965,10 @@
       headers__,
       body__,
       outstanding,
-      overloaded);
+      overloaded,
+      arrived,
+      retry_after_ms,
+      timed_out);
 }
 
 flatbuffers::Offset<Answer> CreateAnswer(flatbuffers::FlatBufferBuilder &_fbb, const AnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3888,7 +4004,12 @@
         key(o.key),
         forwarded(o.forwarded),
         sent_ms(o.sent_ms),
-        claimed(o.claimed) {
+        claimed(o.claimed),
+        caller_service(o.caller_service),
+        request_id(o.request_id),
+        repeatable(o.repeatable),
+        priority(o.priority),
+        objective_ms(o.objective_ms) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new sequoiastep::wire::HeaderT(*headers_) : nullptr); }
 }
@@ -3910,6 +4031,11 @@
   std::swap(forwarded, o.forwarded);
   std::swap(sent_ms, o.sent_ms);
   std::swap(claimed, o.claimed);
+  std::swap(caller_service, o.caller_service);
+  std::swap(request_id, o.request_id);
+  std::swap(repeatable, o.repeatable);
+  std::swap(priority, o.priority);
+  std::swap(objective_ms, o.objective_ms);
   return *this;
 }
 
@@ -3938,6 +4064,11 @@
   { auto _e = forwarded(); _o->forwarded = _e; }
   { auto _e = sent_ms(); _o->sent_ms = _e; }
   { auto _e = claimed(); _o->claimed = _e; }
+  { auto _e = caller_service(); if (_e) _o->caller_service = _e->str(); }
+  { auto _e = request_id(); if (_e) _o->request_id = _e->str(); }
+  { auto _e = repeatable(); _o->repeatable = _e; }
+  { auto _e = priority(); _o->priority = _e; }
+  { auto _e = objective_ms(); _o->objective_ms = _e; }
 }
 
 inline flatbuffers::Offset<Call> Call::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3964,6 +4095,11 @@
   auto _forwarded = _o->forwarded;
   auto _sent_ms = _o->sent_ms;
   auto _claimed = _o->claimed;
+  auto _caller_service = _o->caller_service.empty() ? 0 : _fbb.CreateString(_o->caller_service);
+  auto _request_id = _o->request_id.empty() ? 0 : _fbb.CreateString(_o->request_id);
+  auto _repeatable = _o->repeatable;
+  auto _priority = _o->priority;
+  auto _objective_ms = _o->objective_ms;
   return sequoiastep::wire::CreateCall(
       _fbb,
       _id,
@@ -3981,7 +4117,12 @@
       _key,
       _forwarded,
       _sent_ms,
-      _claimed);
+      _claimed,
+      _caller_service,
+      _request_id,
+      _repeatable,
+      _priority,
+      _objective_ms);
 }
 
 inline AnswerT::AnswerT(const AnswerT &o)
@@ -3991,7 +4132,10 @@
         reason(o.reason),
         body(o.body),
         outstanding(o.outstanding),
-        overloaded(o.overloaded) {
+        overloaded(o.overloaded),
+        arrived(o.arrived),
+        retry_after_ms(o.retry_after_ms),
+        timed_out(o.timed_out) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new sequoiastep::wire::HeaderT(*headers_) : nullptr); }
 }
@@ -4005,6 +4149,9 @@
   std::swap(body, o.body);
   std::swap(outstanding, o.outstanding);
   std::swap(overloaded, o.overloaded);
+  std::swap(arrived, o.arrived);
+  std::swap(retry_after_ms, o.retry_after_ms);
+  std::swap(timed_out, o.timed_out);
   return *this;
 }
 
@@ -4025,6 +4172,9 @@
   { auto _e = body(); if (_e) { _o->body.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->body.begin()); } }
   { auto _e = outstanding(); _o->outstanding = _e; }
   { auto _e = overloaded(); _o->overloaded = _e; }
+  { auto _e = arrived(); _o->arrived = _e; }
+  { auto _e = retry_after_ms(); _o->retry_after_ms = _e; }
+  { auto _e = timed_out(); _o->timed_out = _e; }
 }
 
 inline flatbuffers::Offset<Answer> Answer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4043,6 +4193,9 @@
   auto _body = _o->body.size() ? _fbb.CreateVector(_o->body) : 0;
   auto _outstanding = _o->outstanding;
   auto _overloaded = _o->overloaded;
+  auto _arrived = _o->arrived;
+  auto _retry_after_ms = _o->retry_after_ms;
+  auto _timed_out = _o->timed_out;
   return sequoiastep::wire::CreateAnswer(
       _fbb,
       _id,
@@ -4052,7 +4205,10 @@
       _headers,
       _body,
       _outstanding,
-      _overloaded);
+      _overloaded,
+      _arrived,
+      _retry_after_ms,
+      _timed_out);
 }
 
 inline CancelT *Cancel::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
--- a/tools/StandInLog.cpp
+++ b/tools/StandInLog.cpp
@@ -1,12 +1,11 @@
-// A stand-in for the platform's append-only log: streams in memory, bounded waits, limited
-// retention, a limit on appends a second, and faults that can be switched on over POST
-// /admin/v1/faults.
+// A stand-in for the platform's store: topics in memory, one partition each, bounded waits, the
+// newest record of each key, limited retention, a limit on appends a second, and faults that can be
+// switched on over POST /admin/v1/faults.
 #include "Address.h"
 #include "Base64.h"
 #include "Clock.h"
 #include "HttpServer.h"
 #include "Log.h"
-#include "Random.h"
 #include "ToolOptions.h"
 
 #include <boost/asio/signal_set.hpp>
@@ -18,7 +17,11 @@
 #include <deque>
 #include <fmt/core.h>
 #include <map>
+#include <optional>
 #include <string>
+#include <type_traits>
+#include <utility>
+#include <vector>
 
 namespace sequoiastep::tools {
 
@@ -31,30 +34,58 @@
 
 namespace {
 
-constexpr std::string_view kStreamsPrefix = "/v1/streams/";
 constexpr Milliseconds kPollMs = 5;
 constexpr Milliseconds kLostAnswerMs = 600'000;
+constexpr std::size_t kLengthBytes = 4;
+constexpr std::size_t kOffsetBytes = 8;
+constexpr std::size_t kPageKeys = 500;
+constexpr std::size_t kRememberedAppends = 5;
+constexpr std::string_view kKeyedPrefix = "keyed.";
 
 struct Record
 {
-  std::uint64_t m_offset = 0;
   std::string m_body;
   Instant m_at;
 };
 
-struct Stream
+// What a producer last did, so that its repeats are known.
+struct Producer
+{
+  std::uint64_t m_epoch = 0;
+  std::uint64_t m_sequence = 0;
+  /// First offset by sequence number.
+  std::deque<std::pair<std::uint64_t, std::uint64_t>> m_appends;
+};
+
+struct KeyedValue
+{
+  std::string m_value;
+  std::uint64_t m_offset = 0;
+};
+
+struct Topic
 {
   std::deque<Record> m_records;
   std::uint64_t m_first = 0;
-  std::uint64_t m_next = 0;
+  std::map<std::string, KeyedValue> m_newest;
+  std::map<std::string, Producer> m_producers;
+
+  std::uint64_t End() const { return m_first + m_records.size(); }
 };
 
+// Faults that can be switched on.
 struct Faults
 {
+  /// Every call is answered with 503.
   bool m_outage = false;
+  /// No call is answered.
+  bool m_silent = false;
   Milliseconds m_delayMs = 0;
   /// Appends that take effect but whose answer never comes.
   std::uint64_t m_loseAnswers = 0;
+  /// Appends that are not answered and take effect only after m_lateMs.
+  std::uint64_t m_lateAppends = 0;
+  Milliseconds m_lateMs = 2000;
 };
 
 struct LogOptions
@@ -62,10 +93,63 @@
   Milliseconds m_keepMs = 86'400'000;
   std::uint64_t m_keepRecords = 100'000;
   std::uint64_t m_appendsPerSecond = 300;
-  /// Largest gap between the offsets of two records.
-  std::uint64_t m_offsetGap = 0;
 };
 
+std::string
+BigEndian(std::uint64_t aNumber, std::size_t aBytes)
+{
+  std::string text;
+  for (std::size_t i = aBytes; i-- > 0;) {
+    text += static_cast<char>(aNumber >> (8 * i) & 0xffU);
+  }
+  return text;
+}
+
+// Splits the body of an append; nothing if it is malformed.
+std::optional<std::vector<std::string>>
+SplitRecords(std::string_view aBody)
+{
+  std::vector<std::string> records;
+  while (!aBody.empty()) {
+    if (aBody.size() < kLengthBytes) {
+      return std::nullopt;
+    }
+    std::size_t size = 0;
+    for (std::size_t i = 0; i < kLengthBytes; ++i) {
+      size = size << 8U | static_cast<unsigned char>(aBody[i]);
+    }
+    aBody.remove_prefix(kLengthBytes);
+    if (size > aBody.size()) {
+      return std::nullopt;
+    }
+    records.emplace_back(aBody.substr(0, size));
+    aBody.remove_prefix(size);
+  }
+  return records;
+}
+
+HttpResponse
+Json(http::status aStatus, const json::object& aBody)
+{
+  return net::MakeResponse(aStatus, "application/json", json::serialize(aBody));
+}
+
+void
+NoteNewest(Topic& aTopic, std::string_view aBody, std::uint64_t aOffset)
+{
+  const std::size_t size = aBody.empty() ? 0 : static_cast<unsigned char>(aBody.front());
+  if (size == 0 || aBody.size() < 1 + size) {
+    return;
+  }
+  const std::string key(aBody.substr(1, size));
+  const std::string value(aBody.substr(1 + size));
+  if (value.empty()) {
+    aTopic.m_newest.erase(key);
+  } else {
+    aTopic.m_newest[key] = { .m_value = value, .m_offset = aOffset };
+  }
+}
+
 class LogServer
 {
 public:
@@ -86,39 +170,40 @@
         http::status::ok,
         { { "reads", m_reads }, { "appends", m_appends }, { "read_bytes", m_readBytes } });
     }
+    if (m_faults.m_silent) {
+      co_await Sleep(kLostAnswerMs);
+    }
     if (m_faults.m_delayMs > 0) {
       co_await Sleep(m_faults.m_delayMs);
     }
     if (m_faults.m_outage) {
-      co_return Json(http::status::service_unavailable, { { "error", "outage" } });
-    }
-    if (!path.starts_with(kStreamsPrefix)) {
-      co_return Json(http::status::not_found, { { "error", "no such path" } });
+      co_return Json(http::status::service_unavailable, { { "why", "outage" } });
     }
-    std::string name = path.substr(kStreamsPrefix.size());
-    const bool records = name.ends_with("/records");
-    if (records) {
-      name.resize(name.size() - std::string_view("/records").size());
+    const std::string target(aRequest.target());
+    const std::string name = net::QueryValue(target, "topic", "");
+    if (name.empty()) {
+      co_return Json(http::status::bad_request, { { "why", "name a topic" } });
     }
-    Expire(m_streams[name]);
-    if (!records) {
-      const Stream& stream = m_streams[name];
-      co_return Json(http::status::ok, { { "first", stream.m_first }, { "next", stream.m_next } });
+    Expire(m_topics[name]);
+    if (path == "/-/log-append") {
+      HttpResponse response = co_await Append(name, target, std::move(aRequest.body()));
+      co_return response;
     }
-    if (aRequest.method() == http::verb::post) {
-      HttpResponse response = co_await Append(name, std::move(aRequest.body()));
+    if (path == "/-/log-read") {
+      HttpResponse response = co_await Read(name, target);
       co_return response;
     }
-    HttpResponse response = co_await Read(name, std::string(aRequest.target()));
-    co_return response;
+    if (path == "/-/log-newest") {
+      co_return Newest(m_topics[name], net::QueryValue(target, "after", ""));
+    }
+    if (path == "/-/log-trim") {
+      Trim(m_topics[name], std::stoull(net::QueryValue(target, "before", "0")));
+      co_return Json(http::status::ok, {});
+    }
+    co_return Json(http::status::not_found, { { "why", "no such call" } });
   }
 
 private:
-  static HttpResponse Json(http::status aStatus, const json::object& aBody)
-  {
-    return net::MakeResponse(aStatus, "application/json", json::serialize(aBody));
-  }
-
   Awaitable<void> Sleep(Milliseconds aDelay)
   {
     asio::steady_timer timer(m_context, std::chrono::milliseconds(aDelay));
@@ -133,26 +218,45 @@
       return Json(http::status::bad_request, { { "error", "send a JSON object" } });
     }
     const json::object& object = value.get_object();
-    if (const json::value* outage = object.if_contains("outage")) {
-      m_faults.m_outage = outage->is_bool() && outage->get_bool();
-    }
-    if (const json::value* delay = object.if_contains("delay_ms")) {
-      m_faults.m_delayMs = delay->to_number<Milliseconds>();
-    }
-    if (const json::value* lose = object.if_contains("lose_answers")) {
-      m_faults.m_loseAnswers = lose->to_number<std::uint64_t>();
+    const auto flag = [&](std::string_view aKey, bool& aFlag) {
+      if (const json::value* given = object.if_contains(aKey)) {
+        aFlag = given->is_bool() && given->get_bool();
+      }
+    };
+    const auto number = [&](std::string_view aKey, auto& aNumber) {
+      if (const json::value* given = object.if_contains(aKey)) {
+        aNumber = given->to_number<std::remove_reference_t<decltype(aNumber)>>();
+      }
+    };
+    flag("outage", m_faults.m_outage);
+    flag("silent", m_faults.m_silent);
+    number("delay_ms", m_faults.m_delayMs);
+    number("lose_answers", m_faults.m_loseAnswers);
+    number("late_appends", m_faults.m_lateAppends);
+    number("late_ms", m_faults.m_lateMs);
+    if (object.contains("compact")) {
+      for (auto& [name, topic] : m_topics) {
+        Trim(topic, topic.End());
+      }
     }
     return Json(http::status::ok, { { "taken", true } });
   }
 
-  void Expire(Stream& aStream) const
+  static void Trim(Topic& aTopic, std::uint64_t aBefore)
+  {
+    while (!aTopic.m_records.empty() && aTopic.m_first < aBefore) {
+      aTopic.m_records.pop_front();
+      ++aTopic.m_first;
+    }
+  }
+
+  void Expire(Topic& aTopic) const
   {
     const Instant now = Clock::Now();
-    while (!aStream.m_records.empty() &&
-           (aStream.m_records.size() > m_options.m_keepRecords ||
-            now - aStream.m_records.front().m_at > m_options.m_keepMs)) {
-      aStream.m_first = aStream.m_records.front().m_offset + 1;
-      aStream.m_records.pop_front();
+    while (!aTopic.m_records.empty() &&
+           (aTopic.m_records.size() > m_options.m_keepRecords ||
+            now - aTopic.m_records.front().m_at > m_options.m_keepMs)) {
+      Trim(aTopic, aTopic.m_first + 1);
     }
   }
 
@@ -166,56 +270,129 @@
     return ++m_appendsInWindow > m_options.m_appendsPerSecond;
   }
 
-  Awaitable<HttpResponse> Append(std::string aName, std::string aBody)
+  // Appends unless a condition of the query speaks against it.
+  HttpResponse AppendNow(const std::string& aName,
+                         const std::string& aTarget,
+                         const std::vector<std::string>& aRecords)
+  {
+    Topic& topic = m_topics[aName];
+    const std::string at = net::QueryValue(aTarget, "at", "");
+    if (!at.empty() && std::stoull(at) != topic.End()) {
+      return Json(http::status::precondition_failed, { { "end", topic.End() } });
+    }
+    const std::string name = net::QueryValue(aTarget, "producer", "");
+    const std::uint64_t epoch = std::stoull(net::QueryValue(aTarget, "epoch", "0"));
+    const std::uint64_t sequence = std::stoull(net::QueryValue(aTarget, "sequence", "0"));
+    Producer& producer = topic.m_producers[name];
+    if (!name.empty()) {
+      if (epoch < producer.m_epoch) {
+        return Json(http::status::conflict, { { "why", "fenced" } });
+      }
+      for (const auto& [old, offset] : producer.m_appends) {
+        if (epoch == producer.m_epoch && old == sequence) {
+          return Json(http::status::ok, { { "offset", offset }, { "end", topic.End() } });
+        }
+      }
+      if (epoch == producer.m_epoch && !producer.m_appends.empty() &&
+          sequence != producer.m_sequence + 1) {
+        return Json(http::status::conflict,
+                    { { "why", "seq" }, { "sequence", producer.m_sequence + 1 } });
+      }
+    }
+    const std::uint64_t offset = topic.End();
+    for (const std::string& record : aRecords) {
+      if (aName.starts_with(kKeyedPrefix)) {
+        NoteNewest(topic, record, topic.End());
+      }
+      topic.m_records.push_back({ .m_body = record, .m_at = Clock::Now() });
+      ++m_appends;
+    }
+    if (!name.empty()) {
+      if (epoch > producer.m_epoch) {
+        producer.m_appends.clear();
+      }
+      producer.m_epoch = epoch;
+      producer.m_sequence = sequence;
+      producer.m_appends.emplace_back(sequence, offset);
+      if (producer.m_appends.size() > kRememberedAppends) {
+        producer.m_appends.pop_front();
+      }
+    }
+    return Json(http::status::ok, { { "offset", offset }, { "end", topic.End() } });
+  }
+
+  Awaitable<HttpResponse> Append(std::string aName, std::string aTarget, std::string aBody)
   {
     if (IsOverRate()) {
-      co_return Json(http::status::too_many_requests, { { "error", "over the append rate" } });
-    }
-    Stream& stream = m_streams[aName];
-    const std::uint64_t offset = stream.m_next + m_random.Below(m_options.m_offsetGap + 1);
-    stream.m_records.push_back(
-      { .m_offset = offset, .m_body = std::move(aBody), .m_at = Clock::Now() });
-    stream.m_next = offset + 1;
-    ++m_appends;
+      co_return Json(http::status::too_many_requests, { { "why", "over the append rate" } });
+    }
+    const auto records = SplitRecords(aBody);
+    if (!records) {
+      co_return Json(http::status::bad_request, { { "why", "records are malformed" } });
+    }
+    if (m_faults.m_lateAppends > 0) {
+      --m_faults.m_lateAppends;
+      co_await Sleep(m_faults.m_lateMs);
+      AppendNow(aName, aTarget, *records);
+      co_await Sleep(kLostAnswerMs);
+    }
+    HttpResponse response = AppendNow(aName, aTarget, *records);
     if (m_faults.m_loseAnswers > 0) {
       --m_faults.m_loseAnswers;
       co_await Sleep(kLostAnswerMs);
     }
-    co_return Json(http::status::created, { { "offset", offset } });
+    co_return response;
   }
 
   Awaitable<HttpResponse> Read(std::string aName, std::string aTarget)
   {
     const std::uint64_t from = std::stoull(net::QueryValue(aTarget, "from", "0"));
-    const std::uint64_t most = std::stoull(net::QueryValue(aTarget, "max", "100"));
+    const std::uint64_t mostBytes = 1024 * std::stoull(net::QueryValue(aTarget, "max_kb", "1024"));
     const auto waitMs =
       static_cast<Milliseconds>(std::stoull(net::QueryValue(aTarget, "wait_ms", "0")));
     ++m_reads;
     const Instant start = Clock::Now();
-    while (m_streams[aName].m_next <= from && Clock::Now() - start < waitMs && !m_faults.m_outage) {
+    while (m_topics[aName].End() <= from && Clock::Now() - start < waitMs && !m_faults.m_outage) {
       co_await Sleep(kPollMs);
     }
-    const Stream& stream = m_streams[aName];
-    if (from < stream.m_first) {
-      co_return Json(http::status::gone, { { "first", stream.m_first } });
+    const Topic& topic = m_topics[aName];
+    if (from < topic.m_first) {
+      co_return Json(http::status::gone, { { "first", topic.m_first } });
     }
-    json::array records;
-    for (const Record& record : stream.m_records) {
-      if (record.m_offset >= from && records.size() < most) {
-        records.push_back(
-          json::object{ { "offset", record.m_offset }, { "body", EncodeBase64(record.m_body) } });
+    std::string body =
+      BigEndian(topic.End(), kOffsetBytes) + BigEndian(topic.m_first, kOffsetBytes);
+    for (std::uint64_t offset = from; offset < topic.End(); ++offset) {
+      const std::string& record = topic.m_records[offset - topic.m_first].m_body;
+      if (offset > from && body.size() + record.size() > mostBytes) {
+        break;
       }
+      body += BigEndian(record.size(), kLengthBytes) + record;
     }
-    HttpResponse response =
-      Json(http::status::ok, { { "records", records }, { "next", stream.m_next } });
+    m_readBytes += body.size();
+    co_return net::MakeResponse(http::status::ok, "application/octet-stream", std::move(body));
+  }
+
+  HttpResponse Newest(const Topic& aTopic, const std::string& aAfter)
+  {
+    ++m_reads;
+    json::array items;
+    auto next = aTopic.m_newest.upper_bound(aAfter);
+    for (; next != aTopic.m_newest.end() && items.size() < kPageKeys; ++next) {
+      items.push_back(json::object{ { "key", next->first },
+                                    { "value", EncodeBase64(next->second.m_value) },
+                                    { "offset", next->second.m_offset } });
+    }
+    HttpResponse response = Json(http::status::ok,
+                                 { { "items", items },
+                                   { "has_more", next != aTopic.m_newest.end() },
+                                   { "end", aTopic.End() } });
     m_readBytes += response.body().size();
-    co_return response;
+    return response;
   }
 
   asio::io_context& m_context;
   LogOptions m_options;
-  Random m_random{ 7 };
-  std::map<std::string, Stream> m_streams;
+  std::map<std::string, Topic> m_topics;
   Faults m_faults;
   Instant m_window;
   std::uint64_t m_appendsInWindow = 0;
@@ -234,8 +411,8 @@
     context,
     { .m_keepMs = aOptions.Number("keep-ms", 86'400'000),
       .m_keepRecords = static_cast<std::uint64_t>(aOptions.Number("keep-records", 100'000)),
-      .m_appendsPerSecond = static_cast<std::uint64_t>(aOptions.Number("appends-per-second", 300)),
-      .m_offsetGap = static_cast<std::uint64_t>(aOptions.Number("offset-gap", 0)) });
+      .m_appendsPerSecond =
+        static_cast<std::uint64_t>(aOptions.Number("appends-per-second", 300)) });
   net::HttpServer server(
     context,
     { .m_idleMs = 600'000 },
--- a/tools/mesh.sh
+++ b/tools/mesh.sh
@@ -8,7 +8,7 @@
 start_process() {
   local name=$1
   shift
-  "$@" >"$MESH_DIR/$name.out" 2>"$MESH_DIR/$name.log" &
+  "$@" >"$MESH_DIR/$name.log" 2>"$MESH_DIR/$name.err" &
   LAST_PID=$!
   MESH_PIDS+=("$LAST_PID")
 }
@@ -27,7 +27,7 @@
   LOG_ADDRESS="127.0.0.1:$1"
   shift
   start_process log "$BIN/standinlog" listen="$LOG_ADDRESS" "$@"
-  wait_for 5 curl -sf "http://$LOG_ADDRESS/v1/streams/none"
+  wait_for 5 curl -sf "http://$LOG_ADDRESS/-/log-newest?topic=keyed.none"
 }
 
 # Ports of node N: caller, target, admin, peer, and the target's own.
