--- a/modules/config/include/Documents.h
+++ b/modules/config/include/Documents.h
@@ -81,6 +81,8 @@
   std::uint32_t m_maxAttempts = 0;
   /// Rank among routes; 0 comes first.
   std::uint32_t m_priority = 0;
+  /// Its answers are large, so that they should not travel far.
+  bool m_largeAnswers = false;
 };
 
 /// What a caller may send, and how long it may take or stay idle.
--- a/modules/config/src/Effective.cpp
+++ b/modules/config/src/Effective.cpp
@@ -114,6 +114,7 @@
   BOOST_LEAF_AUTO(objectiveMs, reader.Number("objective_ms", objectiveRule));
   BOOST_LEAF_AUTO(maxAttempts, reader.Number("max_attempts", kMaxAttemptsRule));
   BOOST_LEAF_AUTO(priority, reader.Number("priority", kPriorityRule));
+  BOOST_LEAF_AUTO(largeAnswers, reader.Flag("large_answers", false));
   if (clusters.empty()) {
     BOOST_LEAF_AUTO(cluster, reader.Text("cluster"));
     clusters.push_back({ .m_cluster = std::move(cluster), .m_weight = 1 });
@@ -136,7 +137,8 @@
                 .m_timeoutMs = static_cast<std::uint32_t>(timeoutMs),
                 .m_objectiveMs = static_cast<std::uint32_t>(objectiveMs),
                 .m_maxAttempts = static_cast<std::uint32_t>(maxAttempts),
-                .m_priority = static_cast<std::uint32_t>(priority) };
+                .m_priority = static_cast<std::uint32_t>(priority),
+                .m_largeAnswers = largeAnswers };
 }
 
 Result<void>
--- a/modules/node/src/CallsDuty.h
+++ b/modules/node/src/CallsDuty.h
@@ -99,6 +99,8 @@
   CallJob MakeJob(const net::HttpRequest& aRequest,
                   const config::Snapshot& aSnapshot,
                   const config::Route& aRoute);
+  Milliseconds ShortWait(const CallJob& aJob) const;
+  void NoteAnswerSize(const std::string& aRoute, std::size_t aBytes);
   routing::RetryBudget& BudgetOf(const std::string& aService);
   bool MayOverlap(const net::HttpRequest& aRequest) const;
   void ApplyCallerLimits();
@@ -136,6 +138,8 @@
   routing::PickState m_picks;
   std::map<std::string, routing::RetryBudget, std::less<>> m_budgets;
   routing::WeightTurns m_weightTurns;
+  /// Moving average of a route's answers.
+  std::map<std::string, double, std::less<>> m_answerKilobytes;
   /// Version whose limits for callers are applied.
   std::uint64_t m_limitsVersion = 0;
   std::set<InboundPtr> m_inbound;
--- a/modules/node/src/CallsDutyRoute.cpp
+++ b/modules/node/src/CallsDutyRoute.cpp
@@ -36,6 +36,17 @@
 constexpr Milliseconds kRetryAfterLeastMs = 150;
 constexpr std::uint64_t kRetryAfterSpreadMs = 250;
 constexpr double kMillisecondsPerSecond = 1000;
+constexpr double kKilobyte = 1000;
+// Headers of a request and its answer.
+constexpr double kMessageKilobytes = 1;
+// What is assumed of a route with large answers before the first one.
+constexpr double kLargeKilobytes = 64;
+constexpr double kSizeWeight = 0.2;
+constexpr std::size_t kMostRoutes = 4096;
+// Targets that are asked for a place with a short wait before a longer one is accepted.
+constexpr std::uint32_t kShortWaitTries = 3;
+constexpr std::uint32_t kAnyWait = 0xffffffffU;
+constexpr Milliseconds kShortWaitMs = 40;
 
 std::optional<std::uint64_t>
 NumberHeader(const HttpRequest& aRequest, std::string_view aName)
@@ -104,6 +115,8 @@
   Instant m_startedAt;
   Instant m_deadline;
   Instant m_objective;
+  /// Bytes that probably travel, request and answer.
+  double m_kilobytes = 1;
 };
 
 bool
@@ -159,6 +172,11 @@
   job.m_call.request_id = aRequest[adapter::kRequestId];
   job.m_call.repeatable = aRoute.m_repeat == config::Repeat::Safe;
   job.m_call.priority = aRoute.m_priority;
+  job.m_call.route = aRoute.m_name;
+  const auto size = m_answerKilobytes.find(aRoute.m_name);
+  const double usual = aRoute.m_largeAnswers ? kLargeKilobytes : 0;
+  job.m_kilobytes = kMessageKilobytes + static_cast<double>(aRequest.body().size()) / kKilobyte +
+                    (size == m_answerKilobytes.end() ? usual : size->second);
   return job;
 }
 
@@ -294,13 +312,15 @@
 {
   const Instant now = Clock::Now();
   const AttemptOutcome outcome = OutcomeOf(aAnswer);
+  const routing::LoadReport report{ .m_load = aAnswer.outstanding,
+                                    .m_serviceUs = aAnswer.service_us };
   switch (outcome) {
     case AttemptOutcome::Done:
     case AttemptOutcome::Failed:
-      routing::NoteAnswer(m_picks, aNode, aElapsedUs, aAnswer.outstanding, now);
+      routing::NoteAnswer(m_picks, aNode, aElapsedUs, aAnswer.held_us, report, now);
       break;
     case AttemptOutcome::Overloaded:
-      routing::NoteOverload(m_picks, aNode, aAnswer.outstanding, now);
+      routing::NoteOverload(m_picks, aNode, report, now);
       break;
     case AttemptOutcome::NotRun:
     case AttemptOutcome::TurnedAway:
@@ -324,7 +344,9 @@
                                     { .m_region = m_identity.m_region,
                                       .m_failureDomain = m_identity.m_failureDomain,
                                       .m_crossRegion = aJob.m_crossRegion,
-                                      .m_tried = &aTried },
+                                      .m_tried = &aTried,
+                                      .m_kilobytes = aJob.m_kilobytes,
+                                      .m_objectiveMs = aJob.m_objective - Clock::Now() },
                                     Clock::Now(),
                                     m_random);
   return picked ? std::optional(service->second[*picked]) : std::nullopt;
@@ -362,6 +384,25 @@
   m_latencySumUs += static_cast<double>(aElapsedUs);
 }
 
+void
+CallsDuty::NoteAnswerSize(const std::string& aRoute, std::size_t aBytes)
+{
+  if (m_answerKilobytes.size() >= kMostRoutes) {
+    m_answerKilobytes.clear();
+  }
+  const double kilobytes = static_cast<double>(aBytes) / kKilobyte;
+  const auto [size, isNew] = m_answerKilobytes.try_emplace(aRoute, kilobytes);
+  size->second += isNew ? 0 : kSizeWeight * (kilobytes - size->second);
+}
+
+// How long a call may wait at a target while others may have room: what moving it would cost.
+Milliseconds
+CallsDuty::ShortWait(const CallJob& aJob) const
+{
+  const routing::BytePrices prices;
+  return kShortWaitMs + static_cast<Milliseconds>(aJob.m_kilobytes * prices.m_crossDomainMsPerKb);
+}
+
 Awaitable<HttpResponse>
 CallsDuty::RunJob(CallJob aJob)
 {
@@ -369,6 +410,7 @@
   aJob.m_call.parent_span = span.Context().m_parent;
   routing::RetryBudget& budget = BudgetOf(aJob.m_call.service);
   routing::NoteRequest(budget, Clock::Now());
+  std::set<std::string, std::less<>> failed;
   std::set<std::string, std::less<>> tried;
   AnswerT answer;
   answer.outcome = CallOutcome::NotRun;
@@ -377,20 +419,33 @@
   routing::RetryQuestion question{ .m_repeat = aJob.m_repeat,
                                    .m_handovers = 0,
                                    .m_maxAttempts = aJob.m_maxAttempts };
+  std::uint32_t shortTries = 0;
   RetryVerdict verdict = RetryVerdict::TryFree;
   while (verdict != RetryVerdict::Stop) {
-    const auto target = PickTarget(aJob, tried);
+    bool lastRound = shortTries >= kShortWaitTries;
+    auto target = lastRound ? std::nullopt : PickTarget(aJob, tried);
+    if (!target) {
+      lastRound = true;
+      target = PickTarget(aJob, failed);
+    }
     if (!target) {
       break;
     }
     if (question.m_handovers > 0) {
       m_shared.m_calls.m_retries.fetch_add(1, std::memory_order_relaxed);
     }
+    aJob.m_call.most_wait_ms = lastRound ? kAnyWait : static_cast<std::uint32_t>(ShortWait(aJob));
     lastNode = target->m_node;
     tried.insert(lastNode);
     ++question.m_handovers;
     AnswerT next;
     question.m_outcome = co_await TryTarget(aJob, *target, next);
+    const bool full = question.m_outcome == AttemptOutcome::Overloaded;
+    if (full) {
+      ++shortTries;
+    } else {
+      failed.insert(lastNode);
+    }
     const bool charged = verdict == RetryVerdict::TryCharged;
     if (charged && !next.arrived) {
       routing::ReturnRepeat(budget, Clock::Now());
@@ -400,7 +455,7 @@
     if (!charged || next.arrived) {
       answer = std::move(next);
     }
-    if (answer.outcome == CallOutcome::Done && !IsServerError(answer)) {
+    if ((answer.outcome == CallOutcome::Done && !IsServerError(answer)) || (full && lastRound)) {
       break;
     }
     question.m_leftMs = aJob.m_deadline - Clock::Now();
@@ -408,7 +463,9 @@
   }
   NoteLatency(span.ElapsedUs());
   span.End(NameOf(answer.outcome), lastNode);
-  if (answer.outcome != CallOutcome::Done) {
+  if (answer.outcome == CallOutcome::Done) {
+    NoteAnswerSize(aJob.m_call.route, answer.body.size());
+  } else {
     LogLine(LogLevel::Info, "request_failed")
       .Add("id", aJob.m_call.request_id)
       .Add("service", aJob.m_call.service)
--- a/modules/node/src/TargetRunner.cpp
+++ b/modules/node/src/TargetRunner.cpp
@@ -5,6 +5,7 @@
 #include "Names.h"
 #include "Trace.h"
 
+#include <algorithm>
 #include <boost/beast/http/verb.hpp>
 #include <chrono>
 #include <fmt/core.h>
@@ -27,6 +28,10 @@
 constexpr Milliseconds kLeavingDispatchMs = 800;
 constexpr Milliseconds kUnreachableMs = 500;
 constexpr Milliseconds kConnectMs = 1000;
+constexpr Milliseconds kRetryAfterLeastMs = 100;
+constexpr Milliseconds kRetryAfterMostMs = 1500;
+constexpr double kServiceWeight = 0.1;
+constexpr std::size_t kMostRoutes = 4096;
 
 HttpRequest
 MakeTargetRequest(const CallT& aCall, const routing::TargetReport& aTarget, Milliseconds aLeftMs)
@@ -177,7 +182,7 @@
 std::uint32_t
 TargetRunner::Outstanding() const
 {
-  return m_gate.m_running + m_gate.m_waiting;
+  return m_gate.m_running + static_cast<std::uint32_t>(m_gate.m_waiting.size());
 }
 
 AnswerT
@@ -188,6 +193,7 @@
   answer.reason = aReason;
   answer.overloaded = aOverloaded;
   answer.outstanding = static_cast<std::uint16_t>(Outstanding());
+  answer.service_us = static_cast<std::uint32_t>(m_gate.m_serviceUs);
   return answer;
 }
 
@@ -210,21 +216,51 @@
 void
 TargetRunner::Review()
 {
-  if (m_gate.m_waiting > 0) {
+  if (!m_gate.m_waiting.empty()) {
     Apply(routing::Review(m_gate, Clock::Now()));
   }
 }
 
+routing::GateRequest
+TargetRunner::MakeGateRequest(const CallT& aCall, std::string aCaller)
+{
+  const Instant now = Clock::Now();
+  const auto service = m_serviceUs.find(aCall.route);
+  routing::GateRequest request{ .m_id = m_nextId++,
+                                .m_caller = std::move(aCaller),
+                                .m_priority = aCall.priority,
+                                .m_serviceUs = service == m_serviceUs.end() ? 0 : service->second,
+                                .m_deadline = now + aCall.timeout_ms,
+                                .m_mostWaitMs = static_cast<Milliseconds>(aCall.most_wait_ms) };
+  if (aCall.objective_ms != 0) {
+    request.m_objective = now + aCall.objective_ms;
+  }
+  return request;
+}
+
+void
+TargetRunner::NoteService(const std::string& aRoute, std::int64_t aServiceUs)
+{
+  if (m_serviceUs.size() >= kMostRoutes) {
+    m_serviceUs.clear();
+  }
+  double& average = m_serviceUs[aRoute];
+  const auto service = static_cast<double>(aServiceUs);
+  average = average == 0 ? service : average + kServiceWeight * (service - average);
+}
+
 Awaitable<bool>
-TargetRunner::Admit(std::uint64_t aId, std::string aCaller, Instant aDeadline)
+TargetRunner::Admit(routing::GateRequest aRequest, Milliseconds& aWaitMs)
 {
   const Instant now = Clock::Now();
-  const routing::Admission admission = routing::Offer(m_gate, aId, aCaller, now, aDeadline);
-  if (admission != routing::Admission::Wait) {
-    co_return admission == routing::Admission::Run;
+  const std::uint64_t id = aRequest.m_id;
+  const routing::GateAnswer offered = routing::Offer(m_gate, aRequest, now);
+  aWaitMs = offered.m_waitMs;
+  if (offered.m_admission != routing::Admission::Wait) {
+    co_return offered.m_admission == routing::Admission::Run;
   }
-  Waiting waiting(m_context, aDeadline - now + 1);
-  m_waiting.emplace(aId, &waiting);
+  Waiting waiting(m_context, aRequest.m_deadline - now + 1);
+  m_waiting.emplace(id, &waiting);
   struct Cleanup
   {
     TargetRunner& m_runner;
@@ -242,7 +278,7 @@
       }
     }
   };
-  Cleanup cleanup{ .m_runner = *this, .m_waiting = waiting, .m_id = aId };
+  Cleanup cleanup{ .m_runner = *this, .m_waiting = waiting, .m_id = id };
   co_await waiting.m_timer.async_wait(kAsTuple);
   cleanup.m_taken = waiting.m_runs;
   co_return waiting.m_runs;
@@ -294,25 +330,44 @@
     co_return Refuse(obstacle, false);
   }
   ApplyServiceLimits(aCall.service);
+  const std::int64_t arrivedUs = Clock::NowMicroseconds();
   const Instant deadline = Clock::Now() + aCall.timeout_ms;
-  const bool admitted = co_await Admit(m_nextId++, std::move(aCaller), deadline);
+  Milliseconds waitMs = 0;
+  routing::GateRequest request = MakeGateRequest(aCall, std::move(aCaller));
+  const bool admitted = co_await Admit(std::move(request), waitMs);
   if (!admitted) {
     m_shared.m_calls.m_shed.fetch_add(1, std::memory_order_relaxed);
-    co_return Refuse("the target is full", true);
+    AnswerT full = Refuse("the target is full", true);
+    full.retry_after_ms = static_cast<std::uint32_t>(
+      std::clamp<Milliseconds>(waitMs, kRetryAfterLeastMs, kRetryAfterMostMs));
+    co_return full;
   }
   struct Release
   {
     TargetRunner& m_runner;
+    const std::string& m_route;
     std::int64_t m_startUs;
+    bool m_tells = false;
     ~Release()
     {
-      const std::int64_t ran = Clock::NowMicroseconds() - m_startUs;
+      const std::int64_t ran = m_tells ? Clock::NowMicroseconds() - m_startUs : 0;
+      if (m_tells) {
+        m_runner.NoteService(m_route, ran);
+      }
       m_runner.Apply(routing::Finish(m_runner.m_gate, Clock::Now(), ran));
     }
   };
-  const Release release{ .m_runner = *this, .m_startUs = Clock::NowMicroseconds() };
-  AnswerT answer = co_await Dispatch(aCall, deadline, aRun);
+  AnswerT answer;
+  {
+    Release release{ .m_runner = *this,
+                     .m_route = aCall.route,
+                     .m_startUs = Clock::NowMicroseconds() };
+    answer = co_await Dispatch(aCall, deadline, aRun);
+    release.m_tells = answer.outcome == CallOutcome::Done || answer.timed_out;
+  }
   answer.outstanding = static_cast<std::uint16_t>(Outstanding());
+  answer.service_us = static_cast<std::uint32_t>(m_gate.m_serviceUs);
+  answer.held_us = static_cast<std::uint32_t>(Clock::NowMicroseconds() - arrivedUs);
   co_return answer;
 }
 
--- a/modules/node/src/TargetRunner.h
+++ b/modules/node/src/TargetRunner.h
@@ -59,7 +59,9 @@
 private:
   struct Waiting;
 
-  net::Awaitable<bool> Admit(std::uint64_t aId, std::string aCaller, Instant aDeadline);
+  net::Awaitable<bool> Admit(routing::GateRequest aRequest, Milliseconds& aWaitMs);
+  routing::GateRequest MakeGateRequest(const wire::CallT& aCall, std::string aCaller);
+  void NoteService(const std::string& aRoute, std::int64_t aServiceUs);
   net::Awaitable<wire::AnswerT> Dispatch(const wire::CallT& aCall,
                                          Instant aDeadline,
                                          std::shared_ptr<TargetRun> aRun);
@@ -78,6 +80,8 @@
   Instant m_unreachableUntil;
   std::shared_ptr<net::HttpClient> m_client;
   std::map<std::uint64_t, Waiting*> m_waiting;
+  /// Moving average of how long requests of a route run, in microseconds.
+  std::map<std::string, double, std::less<>> m_serviceUs;
   std::uint64_t m_nextId = 1;
   bool m_present = false;
   bool m_stopping = false;
--- a/modules/routing/include/Picker.h
+++ b/modules/routing/include/Picker.h
@@ -1,6 +1,7 @@
 /// @file
-/// Picks the target for a call: near ones first, spilling by pressure, two random choices, and
-/// trust only in what calls have shown.
+/// Picks the target for a call by what it will probably cost: the way there and back, the wait, the
+/// target's speed, and the price of the answer's bytes between failure domains and regions. It
+/// trusts only what calls have shown.
 #pragma once
 
 #include "Clock.h"
@@ -33,16 +34,30 @@
   bool m_suspect = false;
 };
 
+/// What the node beside a target tells with each answer.
+struct LoadReport
+{
+  /// Requests that it had, waiting ones included, over all callers.
+  std::uint32_t m_load = 0;
+  /// How long a request runs there, in microseconds; 0 if it does not know.
+  std::uint32_t m_serviceUs = 0;
+};
+
 /// What this node's own calls have shown of one target.
 struct TargetStats
 {
   /// Calls of this node that wait for its answer.
   std::uint32_t m_outstanding = 0;
-  /// Requests it said it had, over all callers, with its latest answer.
+  /// The latest report.
   std::uint32_t m_reported = 0;
   Instant m_reportedAt;
+  /// m_outstanding at the report.
+  std::uint32_t m_outstandingThen = 0;
+  double m_serviceUs = 0;
   /// Moving average of the latency, in microseconds; 0 before the first answer.
   double m_latencyUs = 0;
+  /// Moving average of the way there and back, in microseconds; 0 before the first answer.
+  double m_wayUs = 0;
   std::uint32_t m_failures = 0;
   /// It gets no call before this instant, unless there is no other.
   Instant m_avoidUntil;
@@ -54,6 +69,13 @@
   std::map<std::string, TargetStats, std::less<>> m_targets;
 };
 
+/// What bytes cost, as time that callers would rather wait.
+struct BytePrices
+{
+  double m_crossDomainMsPerKb = 4;
+  double m_crossRegionMsPerKb = 15;
+};
+
 /// Where the call starts and what it must avoid.
 struct PickRequest
 {
@@ -62,10 +84,13 @@
   bool m_crossRegion = true;
   /// Nodes that were already tried for this call.
   const std::set<std::string, std::less<>>* m_tried = nullptr;
+  /// Bytes that probably travel, request and answer.
+  double m_kilobytes = 1;
+  BytePrices m_prices;
+  /// What is left of the latency objective. An answer well within it is hardly worth a longer way.
+  Milliseconds m_objectiveMs = 0;
 };
 
-/// Share of a tier's slots in use above which calls spill to the next tier.
-constexpr double kSpillPressure = 0.8;
 /// Below this share of trusted targets, distrust is set aside and all are tried.
 constexpr double kLeastTrustedShare = 0.34;
 
@@ -77,6 +102,10 @@
      Instant aNow,
      Random& aRandom);
 
+/// @return how long a call would probably wait there for a slot, in milliseconds.
+double
+PredictedWaitMs(const Candidate& aCandidate, const TargetStats& aStats, Instant aNow);
+
 /// @return the share, above 0 and up to 1, of its slots that a target may use while it warms up.
 double
 RampShare(const Candidate& aCandidate, Instant aNow);
@@ -86,12 +115,14 @@
 NoteDispatch(PickState& aState, std::string_view aNode);
 
 /// Notes that a call to aNode was answered.
-/// @param aReported requests that the target had, by its own count.
+/// @param aLatencyUs how long the call took in all.
+/// @param aHeldUs how long of it the node beside the target had it.
 void
 NoteAnswer(PickState& aState,
            std::string_view aNode,
            std::int64_t aLatencyUs,
-           std::uint32_t aReported,
+           std::int64_t aHeldUs,
+           const LoadReport& aReport,
            Instant aNow);
 
 /// Notes that aNode could not be reached or failed; it is avoided for a growing while.
@@ -100,7 +131,7 @@
 
 /// Notes that aNode refused a call because it is full.
 void
-NoteOverload(PickState& aState, std::string_view aNode, std::uint32_t aReported, Instant aNow);
+NoteOverload(PickState& aState, std::string_view aNode, const LoadReport& aReport, Instant aNow);
 
 /// Notes that a call ended without telling anything of the target, as when its caller left.
 void
--- a/modules/routing/include/Retry.h
+++ b/modules/routing/include/Retry.h
@@ -34,6 +34,9 @@
   double m_ratio = 0.1;
   /// Repeats in a window besides.
   double m_extra = 10;
+  /// Share of both that may go to requests that ran and failed. They may have made calls of their
+  /// own, which a repeat makes again, and which count at other services.
+  double m_failedShare = 0.3;
   Milliseconds m_windowMs = 10'000;
 };
 
@@ -43,6 +46,8 @@
   Instant m_start;
   std::uint32_t m_requests = 0;
   std::uint32_t m_repeats = 0;
+  /// Those of them whose request had run and failed.
+  std::uint32_t m_failedRepeats = 0;
 };
 
 /// Repeats of the latest window, so that a failing service is not flooded.
@@ -58,9 +63,10 @@
 NoteRequest(RetryBudget& aBudget, Instant aNow);
 
 /// Spends one repeat.
+/// @param aFailed the request ran and failed.
 /// @return false if the window's allowance is used up.
 bool
-TakeRepeat(RetryBudget& aBudget, Instant aNow);
+TakeRepeat(RetryBudget& aBudget, Instant aNow, bool aFailed = false);
 
 /// Gives back a repeat that its target never saw.
 void
--- a/modules/routing/src/Picker.cpp
+++ b/modules/routing/src/Picker.cpp
@@ -8,14 +8,25 @@
 namespace {
 
 constexpr double kLatencyWeight = 0.2;
-constexpr double kTypicalLatencyUs = 1000;
+constexpr double kUsPerMs = 1000;
+// What is assumed of a target and of the way to it before the first answer.
+constexpr double kUnknownServiceUs = 250'000;
+constexpr std::array<double, 3> kUnknownWayMs{ 0.5, 4, 18 };
 constexpr double kLeastRampShare = 0.1;
 constexpr Milliseconds kReportKeepMs = 500;
 constexpr Milliseconds kAvoidLeastMs = 100;
 constexpr Milliseconds kAvoidMostMs = 5000;
-constexpr Milliseconds kAvoidFullMs = 20;
 constexpr std::uint32_t kMostDoublings = 6;
-constexpr std::size_t kTiers = 3;
+// Equal costs are told apart by chance, so that nodes with the same view do not all pick the same.
+constexpr double kNoiseMs = 2;
+constexpr double kNoiseShare = 0.1;
+// How often a target that never answered this node is tried for what it may be worth.
+constexpr double kExploreShare = 0.05;
+constexpr double kExploreMostKilobytes = 16;
+constexpr Milliseconds kExploreUntilMs = 20'000;
+// Time within this share of the objective counts by the weight only.
+constexpr double kCalmShare = 0.5;
+constexpr double kCalmWeight = 0.1;
 
 enum class Tier : std::uint8_t
 {
@@ -28,13 +39,13 @@
 struct Ranked
 {
   std::size_t m_index = 0;
-  double m_pressure = 0;
-  double m_score = 0;
+  double m_costMs = 0;
+  /// The part of the cost that is guessed rather than known.
+  double m_guessedMs = 0;
   bool m_trusted = true;
+  bool m_unknown = false;
 };
 
-using Tiers = std::array<std::vector<Ranked>, kTiers>;
-
 Tier
 TierOf(const Candidate& aCandidate, const PickRequest& aRequest)
 {
@@ -52,66 +63,141 @@
   return found == aState.m_targets.end() ? kNone : found->second;
 }
 
+double
+BytesMs(const PickRequest& aRequest, Tier aTier)
+{
+  switch (aTier) {
+    case Tier::OwnDomain:
+      return 0;
+    case Tier::OwnRegion:
+      return aRequest.m_kilobytes * aRequest.m_prices.m_crossDomainMsPerKb;
+    case Tier::OtherRegion:
+      break;
+  }
+  return aRequest.m_kilobytes * aRequest.m_prices.m_crossRegionMsPerKb;
+}
+
+// How long a request runs there; a target that warms up is slower than it will be.
+double
+ServiceMs(const Candidate& aCandidate, const TargetStats& aStats, double aUsualUs, Instant aNow)
+{
+  const double us = aStats.m_serviceUs > 0 ? aStats.m_serviceUs : aUsualUs;
+  return us / kUsPerMs * (2 - RampShare(aCandidate, aNow));
+}
+
+// What an answer after aTimeMs costs a caller.
+double
+LatenessMs(double aTimeMs, Milliseconds aObjectiveMs)
+{
+  const double calm = kCalmShare * static_cast<double>(std::max<Milliseconds>(0, aObjectiveMs));
+  return kCalmWeight * std::min(aTimeMs, calm) + std::max(0.0, aTimeMs - calm);
+}
+
+bool
+IsNew(const Candidate& aCandidate, const TargetStats& aStats, Instant aNow)
+{
+  const Milliseconds up = aNow - aCandidate.m_upSince;
+  return aStats.m_latencyUs == 0 && aStats.m_outstanding == 0 && up < kExploreUntilMs;
+}
+
 Ranked
-Rank(std::size_t aIndex, const Candidate& aCandidate, const PickState& aState, Instant aNow)
+Rank(std::size_t aIndex,
+     const Candidate& aCandidate,
+     const PickState& aState,
+     const PickRequest& aRequest,
+     double aUsualUs,
+     Instant aNow)
 {
   const TargetStats& stats = StatsOf(aState, aCandidate.m_node);
-  const bool reportIsFresh = aNow - stats.m_reportedAt < kReportKeepMs;
-  const std::uint32_t load = std::max(stats.m_outstanding, reportIsFresh ? stats.m_reported : 0U);
-  const double slots = std::max<double>(1, aCandidate.m_slots) * RampShare(aCandidate, aNow);
-  const double latency = std::max(stats.m_latencyUs, kTypicalLatencyUs);
+  const Tier tier = TierOf(aCandidate, aRequest);
+  const double way =
+    stats.m_wayUs > 0 ? stats.m_wayUs / kUsPerMs : kUnknownWayMs[static_cast<std::size_t>(tier)];
+  const double wait = PredictedWaitMs(aCandidate, stats, aNow);
   return { .m_index = aIndex,
-           .m_pressure = load / slots,
-           .m_score = (load + 1) / slots * latency,
-           .m_trusted = !aCandidate.m_suspect && aNow >= stats.m_avoidUntil };
+           .m_costMs = BytesMs(aRequest, tier) +
+                       LatenessMs(way + ServiceMs(aCandidate, stats, aUsualUs, aNow) + wait,
+                                  aRequest.m_objectiveMs),
+           .m_guessedMs = way + wait,
+           .m_trusted = !aCandidate.m_suspect && aNow >= stats.m_avoidUntil,
+           .m_unknown = IsNew(aCandidate, stats, aNow) };
+}
+
+// What a request usually takes at the service's targets.
+double
+UsualServiceUs(const std::vector<Candidate>& aCandidates, const PickState& aState)
+{
+  double sum = 0;
+  double count = 0;
+  for (const Candidate& candidate : aCandidates) {
+    const TargetStats& stats = StatsOf(aState, candidate.m_node);
+    if (stats.m_serviceUs > 0) {
+      sum += stats.m_serviceUs;
+      ++count;
+    }
+  }
+  return count > 0 ? sum / count : kUnknownServiceUs;
 }
 
-Tiers
-SortIntoTiers(const std::vector<Candidate>& aCandidates,
-              const PickState& aState,
-              const PickRequest& aRequest,
-              Instant aNow)
+std::vector<Ranked>
+RankAll(const std::vector<Candidate>& aCandidates,
+        const PickState& aState,
+        const PickRequest& aRequest,
+        Instant aNow)
 {
-  Tiers tiers;
+  const double usualUs = UsualServiceUs(aCandidates, aState);
+  std::vector<Ranked> ranked;
   for (std::size_t i = 0; i < aCandidates.size(); ++i) {
     const Candidate& candidate = aCandidates[i];
-    const Tier tier = TierOf(candidate, aRequest);
+    const bool foreign = TierOf(candidate, aRequest) == Tier::OtherRegion;
     const bool tried = aRequest.m_tried != nullptr && aRequest.m_tried->contains(candidate.m_node);
-    if (tried || (tier == Tier::OtherRegion && !aRequest.m_crossRegion)) {
-      continue;
+    if (!tried && (!foreign || aRequest.m_crossRegion)) {
+      ranked.push_back(Rank(i, candidate, aState, aRequest, usualUs, aNow));
     }
-    tiers[static_cast<std::size_t>(tier)].push_back(Rank(i, candidate, aState, aNow));
   }
-  return tiers;
+  return ranked;
 }
 
+// Keeps the trusted ones, unless they are too few to tell trouble of targets from one's own.
 void
-TrustAllIfTooFewAreTrusted(Tiers& aTiers)
-{
-  std::size_t trusted = 0;
-  std::size_t total = 0;
-  for (const auto& tier : aTiers) {
-    total += tier.size();
-    trusted += static_cast<std::size_t>(std::count_if(
-      tier.begin(), tier.end(), [](const Ranked& aRanked) { return aRanked.m_trusted; }));
-  }
-  if (total == 0 ||
-      static_cast<double>(trusted) >= kLeastTrustedShare * static_cast<double>(total)) {
-    return;
+DropDistrusted(std::vector<Ranked>& aRanked)
+{
+  const auto trusted = static_cast<double>(std::count_if(
+    aRanked.begin(), aRanked.end(), [](const Ranked& aOne) { return aOne.m_trusted; }));
+  if (trusted > 0 && trusted >= kLeastTrustedShare * static_cast<double>(aRanked.size())) {
+    std::erase_if(aRanked, [](const Ranked& aOne) { return !aOne.m_trusted; });
   }
-  for (auto& tier : aTiers) {
-    for (Ranked& ranked : tier) {
-      ranked.m_trusted = true;
+}
+
+std::size_t
+Cheapest(const std::vector<Ranked>& aRanked, Random& aRandom)
+{
+  const Ranked* best = nullptr;
+  double bestMs = 0;
+  for (const Ranked& ranked : aRanked) {
+    const double noise = aRandom.Unit() * (kNoiseMs + kNoiseShare * ranked.m_guessedMs);
+    if (best == nullptr || ranked.m_costMs + noise < bestMs) {
+      best = &ranked;
+      bestMs = ranked.m_costMs + noise;
     }
   }
+  return best->m_index;
 }
 
-std::size_t
-BetterOfTwo(const std::vector<Ranked>& aChoices, Random& aRandom)
+void
+TakeReport(TargetStats& aStats, const LoadReport& aReport, Instant aNow)
+{
+  aStats.m_reported = aReport.m_load;
+  aStats.m_reportedAt = aNow;
+  aStats.m_outstandingThen = aStats.m_outstanding;
+  if (aReport.m_serviceUs > 0) {
+    aStats.m_serviceUs = aReport.m_serviceUs;
+  }
+}
+
+void
+Blend(double& aAverage, double aValue)
 {
-  const Ranked& first = aChoices[aRandom.Below(aChoices.size())];
-  const Ranked& second = aChoices[aRandom.Below(aChoices.size())];
-  return second.m_score < first.m_score ? second.m_index : first.m_index;
+  aAverage = aAverage == 0 ? aValue : aAverage + kLatencyWeight * (aValue - aAverage);
 }
 
 } // namespace
@@ -126,6 +212,25 @@
   return std::max(kLeastRampShare, static_cast<double>(up) / aCandidate.m_warmUpMs);
 }
 
+double
+PredictedWaitMs(const Candidate& aCandidate, const TargetStats& aStats, Instant aNow)
+{
+  const double slots = std::max(1.0, aCandidate.m_slots * RampShare(aCandidate, aNow));
+  const double serviceMs =
+    (aStats.m_serviceUs > 0 ? aStats.m_serviceUs : kUnknownServiceUs) / kUsPerMs;
+  const Milliseconds age = aNow - aStats.m_reportedAt;
+  double load = aStats.m_outstanding;
+  if (age < kReportKeepMs) {
+    // What was there at the report drains as the slots work; what this node sent since is on top.
+    const double done = std::min<double>(aStats.m_reported, slots) * static_cast<double>(age) /
+                        std::max(1.0, serviceMs);
+    const double sent =
+      std::max(0.0, static_cast<double>(aStats.m_outstanding) - aStats.m_outstandingThen);
+    load = std::max(load, std::max(0.0, aStats.m_reported - done) + sent);
+  }
+  return std::max(0.0, load + 1 - slots) * serviceMs / slots;
+}
+
 std::optional<std::size_t>
 Pick(const std::vector<Candidate>& aCandidates,
      const PickState& aState,
@@ -133,35 +238,18 @@
      Instant aNow,
      Random& aRandom)
 {
-  Tiers tiers = SortIntoTiers(aCandidates, aState, aRequest, aNow);
-  TrustAllIfTooFewAreTrusted(tiers);
-  std::vector<Ranked> trusted;
-  for (const auto& tier : tiers) {
-    std::vector<Ranked> roomy;
-    for (const Ranked& ranked : tier) {
-      if (!ranked.m_trusted) {
-        continue;
-      }
-      trusted.push_back(ranked);
-      if (ranked.m_pressure < kSpillPressure) {
-        roomy.push_back(ranked);
-      }
-    }
-    if (!roomy.empty()) {
-      return BetterOfTwo(roomy, aRandom);
-    }
-  }
-  if (!trusted.empty()) {
-    return BetterOfTwo(trusted, aRandom);
-  }
-  std::vector<Ranked> all;
-  for (const auto& tier : tiers) {
-    all.insert(all.end(), tier.begin(), tier.end());
-  }
-  if (all.empty()) {
+  std::vector<Ranked> ranked = RankAll(aCandidates, aState, aRequest, aNow);
+  if (ranked.empty()) {
     return std::nullopt;
   }
-  return BetterOfTwo(all, aRandom);
+  DropDistrusted(ranked);
+  for (const Ranked& one : ranked) {
+    if (one.m_unknown && aRequest.m_kilobytes < kExploreMostKilobytes &&
+        aRandom.Unit() < kExploreShare) {
+      return one.m_index;
+    }
+  }
+  return Cheapest(ranked, aRandom);
 }
 
 void
@@ -181,17 +269,15 @@
 NoteAnswer(PickState& aState,
            std::string_view aNode,
            std::int64_t aLatencyUs,
-           std::uint32_t aReported,
+           std::int64_t aHeldUs,
+           const LoadReport& aReport,
            Instant aNow)
 {
   NoteAbandoned(aState, aNode);
   TargetStats& stats = aState.m_targets[std::string(aNode)];
-  const auto latency = static_cast<double>(aLatencyUs);
-  stats.m_latencyUs = stats.m_latencyUs == 0
-                        ? latency
-                        : stats.m_latencyUs + kLatencyWeight * (latency - stats.m_latencyUs);
-  stats.m_reported = aReported;
-  stats.m_reportedAt = aNow;
+  Blend(stats.m_latencyUs, static_cast<double>(aLatencyUs));
+  Blend(stats.m_wayUs, static_cast<double>(std::max<std::int64_t>(1, aLatencyUs - aHeldUs)));
+  TakeReport(stats, aReport, aNow);
   stats.m_failures = 0;
   stats.m_avoidUntil = {};
 }
@@ -209,13 +295,10 @@
 }
 
 void
-NoteOverload(PickState& aState, std::string_view aNode, std::uint32_t aReported, Instant aNow)
+NoteOverload(PickState& aState, std::string_view aNode, const LoadReport& aReport, Instant aNow)
 {
   NoteAbandoned(aState, aNode);
-  TargetStats& stats = aState.m_targets[std::string(aNode)];
-  stats.m_reported = aReported;
-  stats.m_reportedAt = aNow;
-  stats.m_avoidUntil = aNow + kAvoidFullMs;
+  TakeReport(aState.m_targets[std::string(aNode)], aReport, aNow);
 }
 
 } // namespace sequoiastep::routing
--- a/modules/routing/src/Retry.cpp
+++ b/modules/routing/src/Retry.cpp
@@ -25,17 +25,21 @@
 }
 
 // Requests of the spans that lie within the window, repeats of all that overlap it.
-double
-LeftInWindow(const RetryBudget& aBudget, Instant aNow)
+bool
+HasLeft(const RetryBudget& aBudget, Instant aNow, bool aFailed)
 {
   double requests = 0;
   double repeats = 0;
+  double failed = 0;
   for (const RetrySpan& span : aBudget.m_spans) {
     const bool inside = aNow - span.m_start <= aBudget.m_allowance.m_windowMs;
     requests += inside ? span.m_requests : 0;
     repeats += span.m_repeats;
+    failed += span.m_failedRepeats;
   }
-  return aBudget.m_allowance.m_ratio * requests + aBudget.m_allowance.m_extra - repeats;
+  const RetryAllowance& allowance = aBudget.m_allowance;
+  const double all = allowance.m_ratio * requests + allowance.m_extra;
+  return repeats + 1 <= all && (!aFailed || failed + 1 <= all * allowance.m_failedShare);
 }
 
 bool
@@ -64,13 +68,14 @@
 }
 
 bool
-TakeRepeat(RetryBudget& aBudget, Instant aNow)
+TakeRepeat(RetryBudget& aBudget, Instant aNow, bool aFailed)
 {
   RetrySpan& span = CurrentSpan(aBudget, aNow);
-  if (LeftInWindow(aBudget, aNow) < 1) {
+  if (!HasLeft(aBudget, aNow, aFailed)) {
     return false;
   }
   ++span.m_repeats;
+  span.m_failedRepeats += aFailed ? 1 : 0;
   return true;
 }
 
@@ -96,7 +101,8 @@
   if (aQuestion.m_arrivals == 0) {
     return RetryVerdict::TryFree; // No target saw it, so that trying another adds no load.
   }
-  if (aQuestion.m_arrivals >= aQuestion.m_maxAttempts || !TakeRepeat(aBudget, aNow)) {
+  const bool failed = aQuestion.m_outcome == AttemptOutcome::Failed;
+  if (aQuestion.m_arrivals >= aQuestion.m_maxAttempts || !TakeRepeat(aBudget, aNow, failed)) {
     return RetryVerdict::Stop;
   }
   return RetryVerdict::TryCharged;
--- a/modules/routing/src/SlotGate.cpp
+++ b/modules/routing/src/SlotGate.cpp
@@ -1,6 +1,8 @@
 #include "SlotGate.h"
 
 #include <algorithm>
+#include <cmath>
+#include <tuple>
 
 namespace sequoiastep::routing {
 
@@ -9,96 +11,155 @@
 constexpr double kServiceWeight = 0.1;
 constexpr double kMicrosecondsPerMillisecond = 1000;
 
-// How long the next request to wait would wait, by what the latest ones took.
+double
+ServiceMs(const SlotGate& aGate, const GateRequest& aRequest)
+{
+  const double us = aRequest.m_serviceUs > 0 ? aRequest.m_serviceUs : aGate.m_serviceUs;
+  return us / kMicrosecondsPerMillisecond;
+}
+
+bool
+MeetsObjective(const SlotGate& aGate, const GateRequest& aRequest, Instant aNow)
+{
+  return aNow + static_cast<Milliseconds>(ServiceMs(aGate, aRequest)) <= aRequest.m_objective;
+}
+
+std::uint64_t
+ServedAt(const SlotGate& aGate, const std::string& aCaller)
+{
+  const auto served = aGate.m_servedAt.find(aCaller);
+  return served == aGate.m_servedAt.end() ? 0 : served->second;
+}
+
+// True if aLeft goes before aRight.
+bool
+GoesBefore(const SlotGate& aGate, const GateRequest& aLeft, const GateRequest& aRight, Instant aNow)
+{
+  const auto key = [&](const GateRequest& aRequest) {
+    const bool late = !MeetsObjective(aGate, aRequest, aNow);
+    return std::tuple(aRequest.m_priority,
+                      late,
+                      late ? aRequest.m_deadline : aRequest.m_objective,
+                      ServedAt(aGate, aRequest.m_caller),
+                      aRequest.m_arrival);
+  };
+  return key(aLeft) < key(aRight);
+}
+
+// Time until the slots have done aWorkMs of waiting work and one is free again.
+double
+WaitBehind(const SlotGate& aGate, double aWorkMs)
+{
+  const double slots = std::max<double>(1, aGate.m_options.m_slots);
+  const bool free = aGate.m_running < aGate.m_options.m_slots;
+  const double first = free ? 0 : aGate.m_serviceUs / kMicrosecondsPerMillisecond;
+  return (aWorkMs + first) / slots;
+}
+
 Milliseconds
-ExpectedWait(const SlotGate& aGate)
+WaitOf(const SlotGate& aGate, const GateRequest& aRequest, Instant aNow)
+{
+  double ahead = 0;
+  for (const GateRequest& waiting : aGate.m_waiting) {
+    ahead += GoesBefore(aGate, waiting, aRequest, aNow) ? ServiceMs(aGate, waiting) : 0;
+  }
+  return static_cast<Milliseconds>(WaitBehind(aGate, ahead));
+}
+
+std::size_t
+WaitingOf(const SlotGate& aGate, const std::string& aCaller)
+{
+  return static_cast<std::size_t>(
+    std::count_if(aGate.m_waiting.begin(), aGate.m_waiting.end(), [&](const GateRequest& aRequest) {
+      return aRequest.m_caller == aCaller;
+    }));
+}
+
+// True if the queue is full, or the caller has its share of a queue that others wait in as well.
+bool
+HasNoRoom(const SlotGate& aGate, const std::string& aCaller)
 {
-  const double rounds = (aGate.m_waiting + 1.0) / std::max<double>(1, aGate.m_options.m_slots);
-  return static_cast<Milliseconds>(rounds * aGate.m_serviceUs / kMicrosecondsPerMillisecond);
+  const std::size_t own = WaitingOf(aGate, aCaller);
+  const std::size_t callers = aGate.m_servedAt.size() + (own == 0 ? 1 : 0);
+  return aGate.m_waiting.size() >= aGate.m_options.m_queue ||
+         (callers > 1 && own * callers >= aGate.m_options.m_queue);
 }
 
 void
-ForgetEmptyQueue(SlotGate& aGate, const std::string& aCaller)
+ForgetIdleCallers(SlotGate& aGate)
 {
-  const auto queue = aGate.m_queues.find(aCaller);
-  if (queue != aGate.m_queues.end() && queue->second.empty()) {
-    aGate.m_queues.erase(queue);
-    std::erase(aGate.m_turns, aCaller);
-  }
+  std::erase_if(aGate.m_servedAt,
+                [&](const auto& aItem) { return WaitingOf(aGate, aItem.first) == 0; });
 }
 
+// Those that would start too late, by the work that goes before them, are of no use waiting.
 void
 ShedLate(SlotGate& aGate, Instant aNow, GateDecision& aDecision)
 {
-  std::vector<std::string> callers;
-  for (auto& [caller, queue] : aGate.m_queues) {
-    std::erase_if(queue, [&](const WaitingRequest& aWaiting) {
-      if (aNow < aWaiting.m_latestStart) {
-        return false;
-      }
-      aDecision.m_shed.push_back(aWaiting.m_id);
-      --aGate.m_waiting;
-      return true;
-    });
-    callers.push_back(caller);
-  }
-  for (const std::string& caller : callers) {
-    ForgetEmptyQueue(aGate, caller);
-  }
+  std::sort(aGate.m_waiting.begin(),
+            aGate.m_waiting.end(),
+            [&](const GateRequest& aLeft, const GateRequest& aRight) {
+              return GoesBefore(aGate, aLeft, aRight, aNow);
+            });
+  double ahead = 0;
+  std::erase_if(aGate.m_waiting, [&](const GateRequest& aRequest) {
+    const Instant start = aNow + static_cast<Milliseconds>(WaitBehind(aGate, ahead));
+    if (aNow < aRequest.m_latestStart && start < aRequest.m_deadline) {
+      ahead += ServiceMs(aGate, aRequest);
+      return false;
+    }
+    aDecision.m_shed.push_back(aRequest.m_id);
+    return true;
+  });
 }
 
 void
-RunNext(SlotGate& aGate, GateDecision& aDecision)
+RunNext(SlotGate& aGate, Instant aNow, GateDecision& aDecision)
 {
-  const std::string caller = aGate.m_turns.front();
-  std::deque<WaitingRequest>& queue = aGate.m_queues[caller];
-  aDecision.m_run.push_back(queue.front().m_id);
-  queue.pop_front();
-  --aGate.m_waiting;
+  const auto next = std::min_element(aGate.m_waiting.begin(),
+                                     aGate.m_waiting.end(),
+                                     [&](const GateRequest& aLeft, const GateRequest& aRight) {
+                                       return GoesBefore(aGate, aLeft, aRight, aNow);
+                                     });
+  aDecision.m_run.push_back(next->m_id);
+  aGate.m_servedAt[next->m_caller] = ++aGate.m_served;
+  aGate.m_waiting.erase(next);
   ++aGate.m_running;
-  aGate.m_turns.pop_front();
-  if (queue.empty()) {
-    aGate.m_queues.erase(caller);
-  } else {
-    aGate.m_turns.push_back(caller);
-  }
 }
 
-// The longest queue of one caller; a full gate takes a request of another caller in its place.
-std::size_t
-ShareOf(const SlotGate& aGate, std::string_view aCaller)
+} // namespace
+
+Milliseconds
+ExpectedWait(const SlotGate& aGate)
 {
-  const auto queue = aGate.m_queues.find(aCaller);
-  return queue == aGate.m_queues.end() ? 0 : queue->second.size();
+  double ahead = 0;
+  for (const GateRequest& waiting : aGate.m_waiting) {
+    ahead += ServiceMs(aGate, waiting);
+  }
+  return static_cast<Milliseconds>(WaitBehind(aGate, ahead));
 }
 
-} // namespace
-
-Admission
-Offer(SlotGate& aGate, std::uint64_t aId, std::string_view aCaller, Instant aNow, Instant aDeadline)
+GateAnswer
+Offer(SlotGate& aGate, const GateRequest& aRequest, Instant aNow)
 {
-  if (aNow >= aDeadline) {
-    return Admission::Shed;
+  if (aNow >= aRequest.m_deadline) {
+    return { .m_admission = Admission::Shed, .m_waitMs = 0 };
   }
-  if (aGate.m_running < aGate.m_options.m_slots && aGate.m_waiting == 0) {
+  if (aGate.m_running < aGate.m_options.m_slots && aGate.m_waiting.empty()) {
     ++aGate.m_running;
-    return Admission::Run;
-  }
-  const bool full = aGate.m_waiting >= aGate.m_options.m_queue;
-  const std::size_t callers = aGate.m_queues.size() + (ShareOf(aGate, aCaller) == 0 ? 1 : 0);
-  const bool overShare =
-    callers > 1 && ShareOf(aGate, aCaller) * callers >= aGate.m_options.m_queue;
-  if (full || overShare || aNow + ExpectedWait(aGate) >= aDeadline) {
-    return Admission::Shed;
+    return { .m_admission = Admission::Run, .m_waitMs = 0 };
   }
-  const Instant latest = std::min(aNow + aGate.m_options.m_queueMs, aDeadline);
-  std::deque<WaitingRequest>& queue = aGate.m_queues[std::string(aCaller)];
-  if (queue.empty()) {
-    aGate.m_turns.emplace_back(aCaller);
+  GateRequest waiting = aRequest;
+  waiting.m_arrival = ++aGate.m_arrivals;
+  const Milliseconds wait = WaitOf(aGate, waiting, aNow);
+  if (HasNoRoom(aGate, aRequest.m_caller) || wait > aRequest.m_mostWaitMs ||
+      aNow + wait >= aRequest.m_deadline) {
+    return { .m_admission = Admission::Shed, .m_waitMs = wait };
   }
-  queue.push_back({ .m_id = aId, .m_latestStart = latest });
-  ++aGate.m_waiting;
-  return Admission::Wait;
+  waiting.m_latestStart = std::min(aNow + aGate.m_options.m_queueMs, aRequest.m_deadline);
+  aGate.m_servedAt.try_emplace(aRequest.m_caller, 0);
+  aGate.m_waiting.push_back(std::move(waiting));
+  return { .m_admission = Admission::Wait, .m_waitMs = wait };
 }
 
 GateDecision
@@ -106,9 +167,22 @@
 {
   GateDecision decision;
   ShedLate(aGate, aNow, decision);
-  while (aGate.m_running < aGate.m_options.m_slots && !aGate.m_turns.empty()) {
-    RunNext(aGate, decision);
+  while (aGate.m_running < aGate.m_options.m_slots && !aGate.m_waiting.empty()) {
+    RunNext(aGate, aNow, decision);
+  }
+  ForgetIdleCallers(aGate);
+  return decision;
+}
+
+GateDecision
+ShedAll(SlotGate& aGate)
+{
+  GateDecision decision;
+  for (const GateRequest& waiting : aGate.m_waiting) {
+    decision.m_shed.push_back(waiting.m_id);
   }
+  aGate.m_waiting.clear();
+  aGate.m_servedAt.clear();
   return decision;
 }
 
@@ -128,16 +202,10 @@
 bool
 Withdraw(SlotGate& aGate, std::uint64_t aId)
 {
-  for (auto& [caller, queue] : aGate.m_queues) {
-    const auto removed =
-      std::erase_if(queue, [&](const WaitingRequest& aWaiting) { return aWaiting.m_id == aId; });
-    if (removed > 0) {
-      --aGate.m_waiting;
-      ForgetEmptyQueue(aGate, std::string(caller));
-      return true;
-    }
-  }
-  return false;
+  const auto removed = std::erase_if(
+    aGate.m_waiting, [&](const GateRequest& aRequest) { return aRequest.m_id == aId; });
+  ForgetIdleCallers(aGate);
+  return removed > 0;
 }
 
 void
--- a/modules/routing/tests/RoutingTest.cpp
+++ b/modules/routing/tests/RoutingTest.cpp
@@ -52,6 +52,13 @@
   return counts;
 }
 
+Admission
+Ask(SlotGate& aGate, std::uint64_t aId, const char* aCaller, Instant aNow, Instant aDeadline)
+{
+  return Offer(aGate, { .m_id = aId, .m_caller = aCaller, .m_deadline = aDeadline }, aNow)
+    .m_admission;
+}
+
 } // namespace
 
 TEST_CASE("calls stay in the own domain, spill to the region, then across, and come home")
@@ -96,7 +103,7 @@
   NoteFailure(state, "east-a1", kNow, random);
   CHECK(state.m_targets["east-a1"].m_avoidUntil > first);
   CHECK(state.m_targets["east-a1"].m_avoidUntil - kNow <= 5000);
-  NoteAnswer(state, "east-a1", 900, 0, kNow);
+  NoteAnswer(state, "east-a1", 900, 400, {}, kNow);
   CHECK(CountPicks(candidates, state)["east-a1"] > 0);
   CHECK(state.m_targets["east-a1"].m_outstanding == 0);
 }
@@ -168,13 +175,13 @@
 {
   SlotGate gate;
   gate.m_options = { .m_slots = 2, .m_queue = 3, .m_queueMs = 100 };
-  CHECK(Offer(gate, 1, "a", kNow, kNow + 1000) == Admission::Run);
-  CHECK(Offer(gate, 2, "a", kNow, kNow + 1000) == Admission::Run);
-  CHECK(Offer(gate, 3, "a", kNow, kNow + 1000) == Admission::Wait);
-  CHECK(Offer(gate, 4, "a", kNow, kNow + 50) == Admission::Wait);
-  CHECK(Offer(gate, 5, "a", kNow, kNow + 1000) == Admission::Wait);
-  CHECK(Offer(gate, 6, "a", kNow, kNow + 1000) == Admission::Shed);
-  CHECK(Offer(gate, 7, "a", kNow, kNow) == Admission::Shed);
+  CHECK(Ask(gate, 1, "a", kNow, kNow + 1000) == Admission::Run);
+  CHECK(Ask(gate, 2, "a", kNow, kNow + 1000) == Admission::Run);
+  CHECK(Ask(gate, 3, "a", kNow, kNow + 1000) == Admission::Wait);
+  CHECK(Ask(gate, 4, "a", kNow, kNow + 50) == Admission::Wait);
+  CHECK(Ask(gate, 5, "a", kNow, kNow + 1000) == Admission::Wait);
+  CHECK(Ask(gate, 6, "a", kNow, kNow + 1000) == Admission::Shed);
+  CHECK(Ask(gate, 7, "a", kNow, kNow) == Admission::Shed);
   const GateDecision late = Review(gate, kNow + 60);
   CHECK(late.m_shed == std::vector<std::uint64_t>{ 4 });
   CHECK(late.m_run.empty());
@@ -183,9 +190,9 @@
   CHECK(gate.m_running == 2);
   CHECK(Withdraw(gate, 5));
   CHECK_FALSE(Withdraw(gate, 5));
-  CHECK(gate.m_waiting == 0);
+  CHECK(gate.m_waiting.empty());
   // Requests run 70 ms: one that has 10 ms left would wait in vain.
-  CHECK(Offer(gate, 8, "a", kNow + 70, kNow + 80) == Admission::Shed);
+  CHECK(Ask(gate, 8, "a", kNow + 70, kNow + 80) == Admission::Shed);
 }
 
 TEST_CASE("callers take turns, and one that floods leaves room for the others")
@@ -193,18 +200,18 @@
   SlotGate gate;
   gate.m_options = { .m_slots = 1, .m_queue = 8, .m_queueMs = 1000 };
   const Instant deadline = kNow + 10'000;
-  CHECK(Offer(gate, 1, "flood", kNow, deadline) == Admission::Run);
+  CHECK(Ask(gate, 1, "flood", kNow, deadline) == Admission::Run);
   std::uint64_t id = 2;
-  CHECK(Offer(gate, id++, "calm", kNow, deadline) == Admission::Wait);
+  CHECK(Ask(gate, id++, "calm", kNow, deadline) == Admission::Wait);
   int waiting = 0;
   for (int i = 0; i < 20; ++i) {
     waiting +=
-      Offer(gate, 100 + static_cast<std::uint64_t>(i), "flood", kNow, deadline) == Admission::Wait
+      Ask(gate, 100 + static_cast<std::uint64_t>(i), "flood", kNow, deadline) == Admission::Wait
         ? 1
         : 0;
   }
   CHECK(waiting == 4);
-  CHECK(Offer(gate, 3, "third", kNow, deadline) == Admission::Wait);
+  CHECK(Ask(gate, 3, "third", kNow, deadline) == Admission::Wait);
   CHECK(Finish(gate, kNow + 1, 0).m_run == std::vector<std::uint64_t>{ 2 });
   CHECK(Finish(gate, kNow + 2, 0).m_run == std::vector<std::uint64_t>{ 100 });
   CHECK(Finish(gate, kNow + 3, 0).m_run == std::vector<std::uint64_t>{ 3 });
--- a/modules/wire/include/Messages_generated.h
+++ b/modules/wire/include/Messages_generated.h
@@ -2433,6 +2433,8 @@
   bool repeatable = false;
   uint32_t priority = 0;
   int32_t objective_ms = 0;
+  std::string route{};
+  uint32_t most_wait_ms = 4294967295;
   CallT() = default;
   CallT(const CallT &o);
   CallT(CallT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2464,7 +2466,9 @@
     VT_REQUEST_ID = 38,
     VT_REPEATABLE = 40,
     VT_PRIORITY = 42,
-    VT_OBJECTIVE_MS = 44
+    VT_OBJECTIVE_MS = 44,
+    VT_ROUTE = 46,
+    VT_MOST_WAIT_MS = 48
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -2535,6 +2539,14 @@
   int32_t objective_ms() const {
     return GetField<int32_t>(VT_OBJECTIVE_MS, 0);
   }
+  /// Name of the route, for what its requests usually take.
+  const flatbuffers::String *route() const {
+    return GetPointer<const flatbuffers::String *>(VT_ROUTE);
+  }
+  /// The sender would rather try another target than have the call wait longer.
+  uint32_t most_wait_ms() const {
+    return GetField<uint32_t>(VT_MOST_WAIT_MS, 4294967295);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -2567,6 +2579,9 @@
            VerifyField<uint8_t>(verifier, VT_REPEATABLE, 1) &&
            VerifyField<uint32_t>(verifier, VT_PRIORITY, 4) &&
            VerifyField<int32_t>(verifier, VT_OBJECTIVE_MS, 4) &&
+           VerifyOffset(verifier, VT_ROUTE) &&
+           verifier.VerifyString(route()) &&
+           VerifyField<uint32_t>(verifier, VT_MOST_WAIT_MS, 4) &&
            verifier.EndTable();
   }
   CallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2641,6 +2656,12 @@
   void add_objective_ms(int32_t objective_ms) {
     fbb_.AddElement<int32_t>(Call::VT_OBJECTIVE_MS, objective_ms, 0);
   }
+  void add_route(flatbuffers::Offset<flatbuffers::String> route) {
+    fbb_.AddOffset(Call::VT_ROUTE, route);
+  }
+  void add_most_wait_ms(uint32_t most_wait_ms) {
+    fbb_.AddElement<uint32_t>(Call::VT_MOST_WAIT_MS, most_wait_ms, 4294967295);
+  }
   explicit CallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2674,7 +2695,9 @@
     flatbuffers::Offset<flatbuffers::String> request_id = 0,
     bool repeatable = false,
     uint32_t priority = 0,
-    int32_t objective_ms = 0) {
+    int32_t objective_ms = 0,
+    flatbuffers::Offset<flatbuffers::String> route = 0,
+    uint32_t most_wait_ms = 4294967295) {
   CallBuilder builder_(_fbb);
   builder_.add_sent_ms(sent_ms);
   builder_.add_parent_span(parent_span);
@@ -2682,6 +2705,8 @@
   builder_.add_trace_high(trace_high);
   builder_.add_version(version);
   builder_.add_id(id);
+  builder_.add_most_wait_ms(most_wait_ms);
+  builder_.add_route(route);
   builder_.add_objective_ms(objective_ms);
   builder_.add_priority(priority);
   builder_.add_request_id(request_id);
@@ -2727,7 +2752,9 @@
     const char *request_id = nullptr,
     bool repeatable = false,
     uint32_t priority = 0,
-    int32_t objective_ms = 0) {
+    int32_t objective_ms = 0,
+    const char *route = nullptr,
+    uint32_t most_wait_ms = 4294967295) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto method__ = method ? _fbb.CreateString(method) : 0;
   auto target__ = target ? _fbb.CreateString(target) : 0;
@@ -2736,6 +2763,7 @@
   auto key__ = key ? _fbb.CreateString(key) : 0;
   auto caller_service__ = caller_service ? _fbb.CreateString(caller_service) : 0;
   auto request_id__ = request_id ? _fbb.CreateString(request_id) : 0;
+  auto route__ = route ? _fbb.CreateString(route) : 0;
   return sequoiastep::wire::CreateCall(
       _fbb,
       id,
@@ -2758,7 +2786,9 @@
       request_id__,
       repeatable,
       priority,
-      objective_ms);
+      objective_ms,
+      route__,
+      most_wait_ms);
 }
 
 flatbuffers::Offset<Call> CreateCall(flatbuffers::FlatBufferBuilder &_fbb, const CallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2776,6 +2806,8 @@
   bool arrived = false;
   uint32_t retry_after_ms = 0;
   bool timed_out = false;
+  uint32_t held_us = 0;
+  uint32_t service_us = 0;
   AnswerT() = default;
   AnswerT(const AnswerT &o);
   AnswerT(AnswerT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2797,7 +2829,9 @@
     VT_OVERLOADED = 18,
     VT_ARRIVED = 20,
     VT_RETRY_AFTER_MS = 22,
-    VT_TIMED_OUT = 24
+    VT_TIMED_OUT = 24,
+    VT_HELD_US = 26,
+    VT_SERVICE_US = 28
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -2835,6 +2869,14 @@
   bool timed_out() const {
     return GetField<uint8_t>(VT_TIMED_OUT, 0) != 0;
   }
+  /// How long the answerer had the call, in microseconds.
+  uint32_t held_us() const {
+    return GetField<uint32_t>(VT_HELD_US, 0);
+  }
+  /// How long a request usually runs at the target, in microseconds; 0 if not known.
+  uint32_t service_us() const {
+    return GetField<uint32_t>(VT_SERVICE_US, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -2852,6 +2894,8 @@
            VerifyField<uint8_t>(verifier, VT_ARRIVED, 1) &&
            VerifyField<uint32_t>(verifier, VT_RETRY_AFTER_MS, 4) &&
            VerifyField<uint8_t>(verifier, VT_TIMED_OUT, 1) &&
+           VerifyField<uint32_t>(verifier, VT_HELD_US, 4) &&
+           VerifyField<uint32_t>(verifier, VT_SERVICE_US, 4) &&
            verifier.EndTable();
   }
   AnswerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2896,6 +2940,12 @@
   void add_timed_out(bool timed_out) {
     fbb_.AddElement<uint8_t>(Answer::VT_TIMED_OUT, static_cast<uint8_t>(timed_out), 0);
   }
+  void add_held_us(uint32_t held_us) {
+    fbb_.AddElement<uint32_t>(Answer::VT_HELD_US, held_us, 0);
+  }
+  void add_service_us(uint32_t service_us) {
+    fbb_.AddElement<uint32_t>(Answer::VT_SERVICE_US, service_us, 0);
+  }
   explicit AnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2919,9 +2969,13 @@
     bool overloaded = false,
     bool arrived = false,
     uint32_t retry_after_ms = 0,
-    bool timed_out = false) {
+    bool timed_out = false,
+    uint32_t held_us = 0,
+    uint32_t service_us = 0) {
   AnswerBuilder builder_(_fbb);
   builder_.add_id(id);
+  builder_.add_service_us(service_us);
+  builder_.add_held_us(held_us);
   builder_.add_retry_after_ms(retry_after_ms);
   builder_.add_body(body);
   builder_.add_headers(headers);
@@ -2952,7 +3006,9 @@
     bool overloaded = false,
     bool arrived = false,
     uint32_t retry_after_ms = 0,
-    bool timed_out = false) {
+    bool timed_out = false,
+    uint32_t held_us = 0,
+    uint32_t service_us = 0) {
   auto reason__ = reason ? _fbb.CreateString(reason) : 0;
   auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<sequoiastep::wire::Header>>(*headers) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
@@ -2968,7 +3024,9 @@
       overloaded,
       arrived,
       retry_after_ms,
-      timed_out);
+      timed_out,
+      held_us,
+      service_us);
 }
 
 flatbuffers::Offset<Answer> CreateAnswer(flatbuffers::FlatBufferBuilder &_fbb, const AnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4009,7 +4067,9 @@
         request_id(o.request_id),
         repeatable(o.repeatable),
         priority(o.priority),
-        objective_ms(o.objective_ms) {
+        objective_ms(o.objective_ms),
+        route(o.route),
+        most_wait_ms(o.most_wait_ms) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new sequoiastep::wire::HeaderT(*headers_) : nullptr); }
 }
@@ -4036,6 +4096,8 @@
   std::swap(repeatable, o.repeatable);
   std::swap(priority, o.priority);
   std::swap(objective_ms, o.objective_ms);
+  std::swap(route, o.route);
+  std::swap(most_wait_ms, o.most_wait_ms);
   return *this;
 }
 
@@ -4069,6 +4131,8 @@
   { auto _e = repeatable(); _o->repeatable = _e; }
   { auto _e = priority(); _o->priority = _e; }
   { auto _e = objective_ms(); _o->objective_ms = _e; }
+  { auto _e = route(); if (_e) _o->route = _e->str(); }
+  { auto _e = most_wait_ms(); _o->most_wait_ms = _e; }
 }
 
 inline flatbuffers::Offset<Call> Call::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4100,6 +4164,8 @@
   auto _repeatable = _o->repeatable;
   auto _priority = _o->priority;
   auto _objective_ms = _o->objective_ms;
+  auto _route = _o->route.empty() ? 0 : _fbb.CreateString(_o->route);
+  auto _most_wait_ms = _o->most_wait_ms;
   return sequoiastep::wire::CreateCall(
       _fbb,
       _id,
@@ -4122,7 +4188,9 @@
       _request_id,
       _repeatable,
       _priority,
-      _objective_ms);
+      _objective_ms,
+      _route,
+      _most_wait_ms);
 }
 
 inline AnswerT::AnswerT(const AnswerT &o)
@@ -4135,7 +4203,9 @@
         overloaded(o.overloaded),
         arrived(o.arrived),
         retry_after_ms(o.retry_after_ms),
-        timed_out(o.timed_out) {
+        timed_out(o.timed_out),
+        held_us(o.held_us),
+        service_us(o.service_us) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new sequoiastep::wire::HeaderT(*headers_) : nullptr); }
 }
@@ -4152,6 +4222,8 @@
   std::swap(arrived, o.arrived);
   std::swap(retry_after_ms, o.retry_after_ms);
   std::swap(timed_out, o.timed_out);
+  std::swap(held_us, o.held_us);
+  std::swap(service_us, o.service_us);
   return *this;
 }
 
@@ -4175,6 +4247,8 @@
   { auto _e = arrived(); _o->arrived = _e; }
   { auto _e = retry_after_ms(); _o->retry_after_ms = _e; }
   { auto _e = timed_out(); _o->timed_out = _e; }
+  { auto _e = held_us(); _o->held_us = _e; }
+  { auto _e = service_us(); _o->service_us = _e; }
 }
 
 inline flatbuffers::Offset<Answer> Answer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4196,6 +4270,8 @@
   auto _arrived = _o->arrived;
   auto _retry_after_ms = _o->retry_after_ms;
   auto _timed_out = _o->timed_out;
+  auto _held_us = _o->held_us;
+  auto _service_us = _o->service_us;
   return sequoiastep::wire::CreateAnswer(
       _fbb,
       _id,
@@ -4208,7 +4284,9 @@
       _overloaded,
       _arrived,
       _retry_after_ms,
-      _timed_out);
+      _timed_out,
+      _held_us,
+      _service_us);
 }
 
 inline CancelT *Cancel::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
