--- a/modules/config/include/Documents.h
+++ b/modules/config/include/Documents.h
@@ -43,6 +43,8 @@
   std::uint32_t m_queue = 0;
   /// Longest wait in that queue.
   std::uint32_t m_queueMs = 0;
+  /// Path that tells who a target is and whether it is healthy; empty if there is none.
+  std::string m_healthPath;
 };
 
 /// A group of targets that routes point at.
--- a/modules/distribution/src/Controller.cpp
+++ b/modules/distribution/src/Controller.cpp
@@ -147,6 +147,8 @@
   controller.m_table.m_self = aOptions.m_node;
   controller.m_detector.m_options = aOptions.m_detector;
   controller.m_replay = config::MakeEmptyState();
+  // Without publications a starter has nothing to catch up with.
+  controller.m_phase = aOptions.m_followPublications ? JoinPhase::Searching : JoinPhase::Joined;
   controller.m_startedAt = aNow;
   controller.m_phaseSince = aNow;
   controller.m_lastTick = aNow;
@@ -158,7 +160,8 @@
   const Member entry{ .m_node = aOptions.m_node,
                       .m_incarnation = aOptions.m_incarnation,
                       .m_counter = 0,
-                      .m_state = MemberState::Starting,
+                      .m_state =
+                        aOptions.m_followPublications ? MemberState::Starting : MemberState::Up,
                       .m_address = aOptions.m_address,
                       .m_region = aOptions.m_region,
                       .m_failureDomain = aOptions.m_failureDomain,
--- a/modules/distribution/src/ControllerJoin.cpp
+++ b/modules/distribution/src/ControllerJoin.cpp
@@ -40,10 +40,6 @@
 TurnToLog(Turn& aTurn)
 {
   Controller& controller = aTurn.m_controller;
-  if (!controller.m_options.m_followPublications) {
-    FinishJoin(aTurn);
-    return;
-  }
   controller.m_phase = JoinPhase::FromLog;
   controller.m_phaseSince = aTurn.m_now;
   LogLine(LogLevel::Info, "join_from_log").Add("reason", "no peer answered");
@@ -181,12 +177,26 @@
   }
 }
 
+namespace {
+
+// A node that has just started soon knows others, if there are any.
+bool
+KnowsOthersOrIsAlone(const Controller& aController, Instant aNow)
+{
+  return aController.m_table.m_members.size() > 1 ||
+         aNow - aController.m_startedAt > aController.m_options.m_joinWaitMs;
+}
+
+} // namespace
+
 void
 UpdateReadiness(Turn& aTurn)
 {
   Controller& controller = aTurn.m_controller;
-  const bool ready = controller.m_phase == JoinPhase::Joined && !controller.m_mustCheckPeers &&
-                     controller.m_replay->m_position >= controller.m_floor && !controller.m_left;
+  const bool ready =
+    controller.m_phase == JoinPhase::Joined && !controller.m_mustCheckPeers &&
+    controller.m_replay->m_position >= controller.m_floor && !controller.m_left &&
+    (controller.m_options.m_followPublications || KnowsOthersOrIsAlone(controller, aTurn.m_now));
   if (ready != controller.m_ready) {
     controller.m_ready = ready;
     aTurn.m_actions.emplace_back(ReadinessChanged{ .m_ready = ready });
--- a/modules/distribution/src/ControllerLinks.cpp
+++ b/modules/distribution/src/ControllerLinks.cpp
@@ -19,6 +19,7 @@
 constexpr Milliseconds kDarkAfterStartMs = 3000;
 constexpr std::uint32_t kFailuresToAccuse = 2;
 constexpr std::size_t kWitnesses = 3;
+constexpr std::size_t kShortList = 128;
 
 // Silence after which a link counts as broken.
 Milliseconds
@@ -230,8 +231,10 @@
   }
   const Member* peer = FindMember(controller, aOpened.m_node);
   const bool stranger = peer == nullptr || !membership::IsLive(peer->m_state);
-  if (stranger && aOpened.m_outbound && controller.m_phase == JoinPhase::Joined) {
-    // Two lists that grew apart are merged. A node that dials in may only be starting: it asks.
+  // Two lists that grew apart are merged. A node that dials in may only be starting: it asks, or is
+  // told at once if the list is short.
+  const bool tells = aOpened.m_outbound || controller.m_table.m_members.size() <= kShortList;
+  if (stranger && tells && controller.m_phase == JoinPhase::Joined) {
     SendAllMembers(aTurn, aOpened.m_node);
     return;
   }
--- a/modules/node/include/Settings.h
+++ b/modules/node/include/Settings.h
@@ -41,6 +41,9 @@
   std::uint64_t m_versionHoldMs = 200;
   /// Longest time from a stop request to the exit.
   std::uint64_t m_drainMs = 10'000;
+  /// Time between a stop request and announcing that the node leaves. Until then its target goes on
+  /// taking work from other nodes, while callers here learn to go elsewhere.
+  std::uint64_t m_drainAfterMs = 0;
   /// Time between announcing that the node leaves and refusing work, so that peers learn it.
   std::uint64_t m_drainNoticeMs = 500;
   /// Time between a stop request and refusing callers, so that they learn to go elsewhere.
@@ -77,6 +80,8 @@
   std::string m_targetListen;
   /// Service of the host, told to targets as the caller's; not told if empty.
   std::string m_targetService;
+  /// Where the target beside the node listens, for one health check after a start; none if empty.
+  std::string m_targetAddress;
   std::string m_adminListen;
   /// Bearer token for admin requests that change state; none is asked for if empty.
   std::string m_adminToken;
--- a/modules/node/src/CallsDuty.cpp
+++ b/modules/node/src/CallsDuty.cpp
@@ -2,9 +2,13 @@
 
 #include "Address.h"
 #include "CallsDutyPriv.h"
+#include "HttpClient.h"
 #include "Log.h"
+#include "Names.h"
 #include "Problem.h"
 
+#include <boost/beast/http/field.hpp>
+#include <boost/beast/http/verb.hpp>
 #include <chrono>
 #include <fmt/core.h>
 
@@ -24,6 +28,8 @@
 
 constexpr Milliseconds kBusyTickMs = 20;
 constexpr Milliseconds kTickMs = 100;
+constexpr Milliseconds kProbeMs = 1000;
+constexpr std::uint16_t kUnknownSlots = 2;
 constexpr Milliseconds kHoldStepMs = 5;
 constexpr Milliseconds kStaleControlMs = 1500;
 constexpr Milliseconds kMostStaleHoldMs = 3000;
@@ -110,6 +116,9 @@
     .Add("role", "target")
     .Add("address", net::AddressText(targetEndpoint));
   asio::co_spawn(m_context, TickLoop(), asio::detached);
+  if (!m_settings.m_targetAddress.empty()) {
+    asio::co_spawn(m_context, ProbeTarget(), asio::detached);
+  }
   return {};
 }
 
@@ -132,6 +141,59 @@
   }
 }
 
+// Slots that targets of the service have; a cautious guess if none is known.
+std::uint16_t
+CallsDuty::UsualSlots(const std::string& aService) const
+{
+  std::uint16_t slots = 0;
+  const auto view = m_shared.m_view.load();
+  const auto service = view->m_services.find(aService);
+  if (service != view->m_services.end()) {
+    for (const routing::Candidate& candidate : service->second) {
+      slots = slots == 0 ? candidate.m_slots : std::min(slots, candidate.m_slots);
+    }
+  }
+  return slots > 0 ? slots : kUnknownSlots;
+}
+
+// After a restart of the node alone its target runs on: one health check tells who it is before its
+// next heartbeat does.
+Awaitable<void>
+CallsDuty::ProbeTarget()
+{
+  const std::string& service = m_settings.m_targetService;
+  std::string path;
+  while (path.empty() && m_targetApi.KnowsNothing() && !m_stopped) {
+    asio::steady_timer timer(m_context, std::chrono::milliseconds(kTickMs));
+    co_await timer.async_wait(kAsTuple);
+    if (const auto snapshot = m_shared.m_snapshot.load()) {
+      const auto found = snapshot->m_effective->m_services.find(service);
+      path = found == snapshot->m_effective->m_services.end() ? "" : found->second.m_healthPath;
+    }
+  }
+  if (path.empty() || !m_targetApi.KnowsNothing()) {
+    co_return;
+  }
+  net::HttpClientOptions options;
+  options.m_endpoint = Handle([&] { return net::ParseAddress(m_settings.m_targetAddress); },
+                              [](const Error&) { return net::tcp::endpoint(); });
+  net::HttpClient client(m_context, options);
+  HttpRequest request(http::verb::get, path, 11);
+  request.set(http::field::host, m_settings.m_targetAddress);
+  const net::HttpResult result = co_await client.Send(std::move(request), kProbeMs);
+  if (!result.m_response || result.m_response->result() != http::status::ok) {
+    co_return;
+  }
+  const std::string id(std::string_view((*result.m_response)[adapter::kTargetId]));
+  LogLine(LogLevel::Info, "target_probed").Add("target", id).Add("service", service);
+  if (!id.empty()) {
+    m_targetApi.TakeProbe({ .m_id = id,
+                            .m_service = service,
+                            .m_address = m_settings.m_targetAddress,
+                            .m_slots = UsualSlots(service) });
+  }
+}
+
 // Callers are bound by the configuration's limits where it has any, else by the node's settings.
 void
 CallsDuty::ApplyCallerLimits()
--- a/modules/node/src/CallsDuty.h
+++ b/modules/node/src/CallsDuty.h
@@ -121,6 +121,8 @@
   net::HttpResponse Respond(const CallJob& aJob, const wire::AnswerT& aAnswer);
   void CountOutcome(wire::CallOutcome aOutcome);
   net::Awaitable<void> TickLoop();
+  net::Awaitable<void> ProbeTarget();
+  std::uint16_t UsualSlots(const std::string& aService) const;
 
   net::asio::io_context& m_context;
   const Settings& m_settings;
--- a/modules/node/src/Node.cpp
+++ b/modules/node/src/Node.cpp
@@ -134,7 +134,6 @@
     }
     m_stopping = true;
     LogLine(LogLevel::Info, "draining").Add("node", m_settings.m_node);
-    m_control.Feed(distribution::DrainRequested{});
     m_shared.m_draining.store(true);
     asio::post(m_callsContext, [this] { m_calls->BeginDrain(); });
     asio::co_spawn(m_controlContext, FinishStop(), asio::detached);
@@ -166,7 +165,9 @@
   {
     const Timings& timings = m_settings.m_timings;
     const Instant start = Clock::Now();
-    co_await SleepUntil(start, timings.m_drainNoticeMs);
+    co_await SleepUntil(start, timings.m_drainAfterMs);
+    m_control.Feed(distribution::DrainRequested{});
+    co_await SleepUntil(start, timings.m_drainAfterMs + timings.m_drainNoticeMs);
     asio::post(m_callsContext, [this] { m_calls->StopTakingWork(); });
     co_await SleepUntil(start, timings.m_callerNoticeMs);
     asio::post(m_callsContext, [this] { m_calls->StopTakingCallers(); });
--- a/modules/node/src/Settings.cpp
+++ b/modules/node/src/Settings.cpp
@@ -48,7 +48,7 @@
   { "own_key_retention_ms", &Limits::m_ownKeyRetentionMs, 1000, 30 * kDayMs },
 } };
 
-constexpr std::array<NumberField<Timings>, 11> kTimingFields{ {
+constexpr std::array<NumberField<Timings>, 12> kTimingFields{ {
   { "heartbeat_ms", &Timings::m_heartbeatMs, 100, 10'000 },
   { "suspect_after_ms", &Timings::m_suspectAfterMs, 500, 60'000 },
   { "join_wait_ms", &Timings::m_joinWaitMs, 100, 60'000 },
@@ -58,6 +58,7 @@
   { "log_wait_ms", &Timings::m_logWaitMs, 100, 30'000 },
   { "version_hold_ms", &Timings::m_versionHoldMs, 0, 5000 },
   { "drain_ms", &Timings::m_drainMs, 100, 600'000 },
+  { "drain_after_ms", &Timings::m_drainAfterMs, 0, 60'000 },
   { "drain_notice_ms", &Timings::m_drainNoticeMs, 0, 60'000 },
   { "caller_notice_ms", &Timings::m_callerNoticeMs, 0, 60'000 },
 } };
@@ -129,6 +130,7 @@
   ObjectReader reader = ReaderOf(aObject, "target");
   BOOST_LEAF_ASSIGN(aSettings.m_targetListen, ReadAddress(reader, "listen", "target"));
   BOOST_LEAF_ASSIGN(aSettings.m_targetService, reader.TextOr("service", ""));
+  BOOST_LEAF_ASSIGN(aSettings.m_targetAddress, reader.TextOr("address", ""));
   return reader.Finish();
 }
 
@@ -275,7 +277,9 @@
     { "failure_domain", aSettings.m_failureDomain },
     { "caller", { { "listen", aSettings.m_callerListen } } },
     { "target",
-      { { "listen", aSettings.m_targetListen }, { "service", aSettings.m_targetService } } },
+      { { "listen", aSettings.m_targetListen },
+        { "service", aSettings.m_targetService },
+        { "address", aSettings.m_targetAddress } } },
     { "admin",
       { { "listen", aSettings.m_adminListen },
         { "token", aSettings.m_adminToken.empty() ? "" : "(set)" } } },
--- a/modules/node/src/TargetApi.cpp
+++ b/modules/node/src/TargetApi.cpp
@@ -165,6 +165,21 @@
   return Taken();
 }
 
+void
+TargetApi::TakeProbe(const TargetReport& aReport)
+{
+  if (KnowsNothing()) {
+    m_ttlMs = kHeartbeatTtlMs;
+    Believe(aReport);
+  }
+}
+
+bool
+TargetApi::KnowsNothing() const
+{
+  return !m_record.m_newest && m_record.m_leftId.empty();
+}
+
 net::Awaitable<net::HttpResponse>
 TargetApi::Handle(net::HttpRequest aRequest)
 {
--- a/modules/node/src/TargetApi.h
+++ b/modules/node/src/TargetApi.h
@@ -24,6 +24,10 @@
 
   /// Answers a request of the target.
   net::Awaitable<net::HttpResponse> Handle(net::HttpRequest aRequest);
+  /// Takes what a health check showed; a target that reported itself is known better.
+  void TakeProbe(const routing::TargetReport& aReport);
+  /// @return true if nothing is known of a target.
+  bool KnowsNothing() const;
   /// Drops the target if it was silent beyond its time to live.
   void Review(Instant aNow);
 
--- a/modules/node/src/TargetRunner.cpp
+++ b/modules/node/src/TargetRunner.cpp
@@ -145,8 +145,8 @@
 void
 TargetRunner::SetTarget(const routing::TargetReport& aReport)
 {
-  const bool another = !m_client || aReport.m_address != m_target.m_address ||
-                       aReport.m_id != m_target.m_id || aReport.m_bornMs != m_target.m_bornMs;
+  const bool another =
+    !m_client || aReport.m_address != m_target.m_address || aReport.m_id != m_target.m_id;
   if (another) {
     net::HttpClientOptions options;
     options.m_endpoint = Handle([&] { return net::ParseAddress(aReport.m_address); },
