--- a/modules/distribution/include/Controller.h
+++ b/modules/distribution/include/Controller.h
@@ -16,7 +16,9 @@
 #include "Topology.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
+#include <memory>
 #include <optional>
 #include <set>
 #include <string>
@@ -95,6 +97,12 @@
   std::optional<Instant> m_unwantedSince;
   /// The peer is in another region.
   bool m_foreign = false;
+  /// Version of the operator's record that the peer is known to hold, and the one sent to it.
+  std::uint64_t m_peerOperator = 0;
+  std::uint64_t m_operatorPushed = 0;
+  Instant m_operatorPulledAt;
+  /// Since when the peer has been known to hold a newer one.
+  std::optional<Instant> m_operatorBehindSince;
   /// Sums of failure domains as they were last sent, and when all of them were.
   std::map<DomainKey, DomainSummary> m_sumsSent;
   Instant m_allSumsSentAt;
@@ -102,6 +110,13 @@
   bool m_sumsDue = false;
 };
 
+/// One version of the operator's record.
+struct OperatorText
+{
+  std::uint64_t m_version = 0;
+  std::shared_ptr<const std::string> m_text;
+};
+
 /// A connection attempt and its backoff.
 struct Dial
 {
@@ -200,6 +215,8 @@
   bool m_logCaughtUp = false;
   bool m_checkpointsAsked = false;
 
+  /// The latest versions, the newest last: bases of deltas.
+  std::deque<OperatorText> m_operatorTexts;
   Instant m_lastCheckpoint;
   std::uint32_t m_recordsSinceCheckpoint = 0;
   Instant m_nextDirectory;
@@ -239,6 +256,15 @@
 const membership::Member&
 Self(const Controller& aController);
 
+/// @return true if this node has to watch the store for the operator's record now: it is one of its
+/// region's readers, holds no version yet, or hears of nobody.
+bool
+ReadsOperatorRecord(const Controller& aController, Instant aNow);
+
+/// @return the version of the operator's record that this node holds; 0 if none.
+std::uint64_t
+HeldOperatorVersion(const Controller& aController);
+
 /// @return this node's rank among the readers of its region.
 std::size_t
 ReaderRank(const Controller& aController);
--- a/modules/distribution/include/Events.h
+++ b/modules/distribution/include/Events.h
@@ -128,6 +128,19 @@
   bool m_draining = false;
 };
 
+/// This node holds a version of the operator's record, read from the store or sent by a peer.
+struct OperatorHeld
+{
+  std::uint64_t m_version = 0;
+  std::shared_ptr<const std::string> m_text;
+  /// The peer that sent it; empty if it came from the store.
+  std::string m_from;
+};
+
+/// The platform's store answered a read of this node.
+struct StoreAnswered
+{};
+
 /// A call came that an earlier hop routed by a newer version than this node holds.
 struct VersionWanted
 {
@@ -159,6 +172,8 @@
                            PublicationAppended,
                            PublishRequested,
                            TargetChanged,
+                           OperatorHeld,
+                           StoreAnswered,
                            VersionWanted,
                            DrainRequested,
                            LeaveRequested,
@@ -213,6 +228,13 @@
   DirectoryEntry m_entry;
 };
 
+/// A peer sent an operator's record; OperatorHeld follows if it is valid and newer.
+struct TakeOperatorRecord
+{
+  std::string m_from;
+  std::string m_text;
+};
+
 /// How a publish request ended, as far as it is known.
 struct AnswerPublish
 {
@@ -247,6 +269,7 @@
                             AppendPublication,
                             AppendCheckpoint,
                             AppendDirectory,
+                            TakeOperatorRecord,
                             AnswerPublish,
                             InstallSnapshot,
                             MembersChanged,
--- a/modules/distribution/src/Controller.cpp
+++ b/modules/distribution/src/Controller.cpp
@@ -29,6 +29,10 @@
       return HandlePull(aTurn, aNode, *body.AsPull());
     case wire::Body::Whole:
       return HandleWhole(aTurn, aNode, *body.AsWhole());
+    case wire::Body::OperatorRecord:
+      return HandleOperatorRecord(aTurn, aNode, *body.AsOperatorRecord());
+    case wire::Body::OperatorPull:
+      return HandleOperatorPull(aTurn, aNode, *body.AsOperatorPull());
     case wire::Body::MemberUpdate:
       return HandleMemberUpdate(aTurn, aNode, *body.AsMemberUpdate());
     case wire::Body::MemberDigests:
@@ -122,6 +126,8 @@
   void operator()(const PublicationAppended& aEvent) { HandlePublicationAppended(m_turn, aEvent); }
   void operator()(const PublishRequested& aEvent) { HandlePublishRequested(m_turn, aEvent); }
   void operator()(const TargetChanged& aEvent) { HandleTargetChanged(m_turn, aEvent); }
+  void operator()(const OperatorHeld& aEvent) { HandleOperatorHeld(m_turn, aEvent); }
+  void operator()(const StoreAnswered&) { HandleStoreAnswered(m_turn); }
   void operator()(const VersionWanted& aEvent) { HandleVersionWanted(m_turn, aEvent); }
   void operator()(const DrainRequested&) { HandleDrainRequested(m_turn); }
   void operator()(const LeaveRequested&) { HandleLeaveRequested(m_turn); }
--- a/modules/distribution/src/ControllerConfig.cpp
+++ b/modules/distribution/src/ControllerConfig.cpp
@@ -51,30 +51,11 @@
   SendTo(aTurn, aNode, aMessage);
 }
 
-// Passes a record down the tree, and as a reader to the heads of the region's domains.
 void
 PassOn(Turn& aTurn, const RecordPtr& aRecord, std::string_view aFrom)
 {
-  Controller& controller = aTurn.m_controller;
-  const membership::Member& self = Self(controller);
-  std::set<std::string, std::less<>> targets;
-  if (const auto* order = OwnDomainOrder(controller)) {
-    for (std::string& child :
-         TreeChildren(*order, self.m_node, controller.m_options.m_topology.m_fanOut)) {
-      targets.insert(std::move(child));
-    }
-  }
-  const membership::Member* sender = aFrom.empty() ? nullptr : FindMember(controller, aFrom);
-  const bool cameFromHome = sender != nullptr && sender->m_region == self.m_region;
-  if (ReaderRank(controller) < controller.m_options.m_topology.m_readers && !cameFromHome) {
-    for (std::string& head :
-         ReaderTargets(controller.m_topology, self, controller.m_options.m_topology)) {
-      targets.insert(std::move(head));
-    }
-  }
-  targets.erase(std::string(aFrom));
   const MessagePtr message = ShareMessage(wire::ConfigRecordT(*aRecord));
-  for (const std::string& target : targets) {
+  for (const std::string& target : PassOnTargets(aTurn.m_controller, aFrom)) {
     PushTo(aTurn, target, message, aRecord->offset + 1);
   }
 }
@@ -150,6 +131,28 @@
 
 } // namespace
 
+std::set<std::string, std::less<>>
+PassOnTargets(const Controller& aController, std::string_view aFrom)
+{
+  const membership::Member& self = Self(aController);
+  const TopologyOptions& topology = aController.m_options.m_topology;
+  std::set<std::string, std::less<>> targets;
+  if (const auto* order = OwnDomainOrder(aController)) {
+    for (std::string& child : TreeChildren(*order, self.m_node, topology.m_fanOut)) {
+      targets.insert(std::move(child));
+    }
+  }
+  const membership::Member* sender = aFrom.empty() ? nullptr : FindMember(aController, aFrom);
+  const bool cameFromHome = sender != nullptr && sender->m_region == self.m_region;
+  if (ReaderRank(aController) < topology.m_readers && !cameFromHome) {
+    for (std::string& head : ReaderTargets(aController.m_topology, self, topology)) {
+      targets.insert(std::move(head));
+    }
+  }
+  targets.erase(std::string(aFrom));
+  return targets;
+}
+
 void
 ReplayFromLog(Turn& aTurn, const LogRecordBody& aRecord)
 {
--- a/modules/distribution/src/ControllerHeartbeat.cpp
+++ b/modules/distribution/src/ControllerHeartbeat.cpp
@@ -201,6 +201,8 @@
   TakeSums(aTurn, link, aHeartbeat);
   CompareMemberDigest(aTurn, aNode, aHeartbeat.member_digest);
   PullIfBehind(aTurn, aNode);
+  link.m_peerOperator = std::max(link.m_peerOperator, aHeartbeat.operator_version);
+  PullOperatorIfBehind(aTurn, aNode, link);
 }
 
 void
@@ -213,6 +215,7 @@
   heartbeat.member_digest = controller.m_memberDigest;
   heartbeat.log_contact_age_ms = LogContactAge(controller, aTurn.m_now);
   heartbeat.echo = aEcho;
+  heartbeat.operator_version = HeldOperatorVersion(controller);
   AddSums(aTurn, aNode, aLink, heartbeat);
   aLink.m_heartbeatDue = false;
   aLink.m_lastSent = aTurn.m_now;
@@ -234,6 +237,7 @@
     if (link.m_behindSince) {
       PullIfBehind(aTurn, node); // Between regions the next heartbeat may be seconds away.
     }
+    PullOperatorIfBehind(aTurn, node, link);
     const Milliseconds silence = aTurn.m_now - link.m_lastSent;
     const Milliseconds every = link.m_foreign
                                  ? options.m_heartbeatMs * options.m_foreignHeartbeatFactor
--- a/modules/distribution/src/ControllerLog.cpp
+++ b/modules/distribution/src/ControllerLog.cpp
@@ -12,27 +12,6 @@
 constexpr Milliseconds kLogBackoffMostMs = 2000;
 constexpr Milliseconds kReadSlackMs = 1000;
 
-// True if every reader of lower rank has been out of contact with the log for its rank's delay.
-bool
-LowerRanksAreSilent(const Controller& aController, std::size_t aRank, Instant aNow)
-{
-  const ControllerOptions& options = aController.m_options;
-  const auto& order = aController.m_topology.m_readers.at(options.m_region);
-  const Milliseconds patience = options.m_readerTakeoverMs + static_cast<Milliseconds>(aRank - 1) *
-                                                               options.m_readerTakeoverStepMs;
-  for (std::size_t lower = 0; lower < aRank; ++lower) {
-    const auto link = aController.m_links.find(order[lower]);
-    if (link == aController.m_links.end()) {
-      continue;
-    }
-    const Instant lastContact = link->second.m_peerLogContact.value_or(link->second.m_openedAt);
-    if (aNow - lastContact < patience) {
-      return false;
-    }
-  }
-  return true;
-}
-
 bool
 ShouldReadLog(const Controller& aController, Instant aNow)
 {
@@ -94,6 +73,26 @@
 
 } // namespace
 
+bool
+LowerRanksAreSilent(const Controller& aController, std::size_t aRank, Instant aNow)
+{
+  const ControllerOptions& options = aController.m_options;
+  const auto& order = aController.m_topology.m_readers.at(options.m_region);
+  const Milliseconds patience = options.m_readerTakeoverMs + static_cast<Milliseconds>(aRank - 1) *
+                                                               options.m_readerTakeoverStepMs;
+  for (std::size_t lower = 0; lower < aRank; ++lower) {
+    const auto link = aController.m_links.find(order[lower]);
+    if (link == aController.m_links.end()) {
+      continue;
+    }
+    const Instant lastContact = link->second.m_peerLogContact.value_or(link->second.m_openedAt);
+    if (aNow - lastContact < patience) {
+      return false;
+    }
+  }
+  return true;
+}
+
 // Offsets that were given out already may be given out again: what is appended now can't be told
 // from what was replayed. The node keeps its version and says so.
 void
--- a/modules/distribution/src/ControllerPriv.h
+++ b/modules/distribution/src/ControllerPriv.h
@@ -95,6 +95,28 @@
 void
 ReplayFromLog(Turn& aTurn, const LogRecordBody& aRecord);
 
+/// @return the peers that this node passes news on to: its children in the tree, and as a reader the
+/// heads of the region's domains unless the news came from one of the region.
+std::set<std::string, std::less<>>
+PassOnTargets(const Controller& aController, std::string_view aFrom);
+
+// ControllerOperator.cpp
+void
+HandleStoreAnswered(Turn& aTurn);
+void
+HandleOperatorHeld(Turn& aTurn, const OperatorHeld& aHeld);
+void
+HandleOperatorRecord(Turn& aTurn, std::string_view aNode, const wire::OperatorRecordT& aRecord);
+void
+HandleOperatorPull(Turn& aTurn, std::string_view aNode, const wire::OperatorPullT& aPull);
+void
+PullOperatorIfBehind(Turn& aTurn, std::string_view aNode, Link& aLink);
+
+// ControllerLog.cpp
+/// @return true if no reader of a rank below aRank was in contact with the log lately.
+bool
+LowerRanksAreSilent(const Controller& aController, std::size_t aRank, Instant aNow);
+
 // ControllerPublish.cpp
 void
 HandlePublishRequested(Turn& aTurn, const PublishRequested& aRequest);
@@ -145,10 +167,16 @@
 void
 TickHeartbeats(Turn& aTurn);
 
-// ControllerJoin.cpp
+// ControllerDirectory.cpp
 void
 TickDirectory(Turn& aTurn);
 void
+HandleDirectoryRead(Turn& aTurn, const DirectoryRead& aRead);
+void
+HandleDirectoryWritten(Turn& aTurn, const DirectoryWritten& aWritten);
+
+// ControllerJoin.cpp
+void
 AskToJoin(Turn& aTurn, std::string_view aNode);
 void
 HandleJoin(Turn& aTurn, std::string_view aNode, const wire::JoinT& aJoin);
@@ -157,10 +185,6 @@
 void
 HandleJoinDone(Turn& aTurn, std::string_view aNode, const wire::JoinDoneT& aDone);
 void
-HandleDirectoryRead(Turn& aTurn, const DirectoryRead& aRead);
-void
-HandleDirectoryWritten(Turn& aTurn, const DirectoryWritten& aWritten);
-void
 FinishJoin(Turn& aTurn);
 void
 TickJoin(Turn& aTurn);
--- a/modules/distribution/tests/FakeMesh.cpp
+++ b/modules/distribution/tests/FakeMesh.cpp
@@ -249,6 +249,19 @@
   });
 }
 
+void
+FakeMesh::TakeOperator(const std::string& aNode, const std::string& aText, const std::string& aFrom)
+{
+  FakeNode& node = m_nodes.at(aNode);
+  const std::uint64_t version = std::stoull(aText.substr(0, aText.find(' ')));
+  REQUIRE(version >= node.m_operatorVersion);
+  node.m_operatorVersion = version;
+  Feed(aNode,
+       OperatorHeld{ .m_version = version,
+                     .m_text = std::make_shared<const std::string>(aText),
+                     .m_from = aFrom });
+}
+
 void
 FakeMesh::Perform(const std::string& aNode, const Action& aAction)
 {
@@ -295,6 +308,8 @@
       m_log.m_directory[aNode] = directory->m_entry;
     }
     At(m_log.m_delayMs, [this, aNode, works] { Feed(aNode, DirectoryWritten{ .m_ok = works }); });
+  } else if (const auto* record = std::get_if<TakeOperatorRecord>(&aAction)) {
+    TakeOperator(aNode, record->m_text, record->m_from);
   } else if (const auto* answer = std::get_if<AnswerPublish>(&aAction)) {
     m_nodes.at(aNode).m_answers[answer->m_request] = *answer;
   } else if (const auto* snapshot = std::get_if<InstallSnapshot>(&aAction)) {
--- a/modules/distribution/tests/FakeMesh.h
+++ b/modules/distribution/tests/FakeMesh.h
@@ -38,6 +38,7 @@
   Controller m_controller;
   std::string m_region;
   std::string m_failureDomain;
+  std::uint64_t m_operatorVersion = 0;
   std::uint64_t m_incarnation = 0;
   bool m_alive = true;
   bool m_frozen = false;
@@ -72,6 +73,8 @@
   /// Breaks the link between two nodes once.
   void BreakLink(const std::string& aLeft, const std::string& aRight);
   void Feed(const std::string& aNode, Event aEvent);
+  /// The node decoded an operator's record: its version and a blank stand at the start of aText.
+  void TakeOperator(const std::string& aNode, const std::string& aText, const std::string& aFrom);
   void Run(Milliseconds aFor);
   /// Runs until aDone or for aMost.
   /// @return true if aDone became true.
--- /dev/null
+++ b/modules/distribution/tests/OperatorTest.cpp
@@ -0,0 +1,140 @@
+// The operator's record: how a version that one reader found reaches all nodes.
+#include "FakeMesh.h"
+
+#include <doctest/doctest.h>
+
+using namespace sequoiastep;
+using namespace sequoiastep::distribution;
+
+namespace {
+
+constexpr Milliseconds kStartMs = 20'000;
+constexpr Milliseconds kInForceMs = 1000;
+constexpr std::size_t kRoutes = 2000;
+
+// A text as an operator's record has it: long, and nearly the same in each version.
+std::string
+TextOf(std::uint64_t aVersion)
+{
+  std::string text = std::to_string(aVersion) + " record";
+  for (std::size_t route = 0; route < kRoutes; ++route) {
+    text += " route-" + std::to_string(route * 7919);
+  }
+  return text + " changed-" + std::to_string(aVersion);
+}
+
+struct OperatorMesh
+{
+  explicit OperatorMesh(std::size_t aCount)
+    : m_mesh(3)
+  {
+    m_mesh.Defaults().m_followPublications = false;
+    m_mesh.AddMany(aCount);
+    REQUIRE(m_mesh.RunUntil([&] { return m_mesh.AllKnowEachOther(); }, kStartMs));
+    m_mesh.Run(3000);
+    Find(m_mesh.ReaderOf("east"), 1);
+    REQUIRE(m_mesh.RunUntil([&] { return AllHold(1); }, kInForceMs));
+  }
+
+  // The node reads the version out of the store.
+  void Find(const std::string& aNode, std::uint64_t aVersion)
+  {
+    m_mesh.TakeOperator(aNode, TextOf(aVersion), {});
+  }
+
+  bool AllHold(std::uint64_t aVersion)
+  {
+    for (const auto& [name, node] : m_mesh.Nodes()) {
+      if (node.m_alive && node.m_operatorVersion != aVersion) {
+        return false;
+      }
+    }
+    return true;
+  }
+
+  FakeMesh m_mesh;
+};
+
+} // namespace
+
+TEST_CASE("a version that one reader found is in force everywhere within a second")
+{
+  OperatorMesh running(48);
+  for (std::uint64_t version = 2; version <= 5; ++version) {
+    running.Find(running.m_mesh.ReaderOf("west"), version);
+    CHECK(running.m_mesh.RunUntil([&] { return running.AllHold(version); }, kInForceMs));
+  }
+}
+
+TEST_CASE("each node is sent a change about once, and as a delta")
+{
+  OperatorMesh running(48);
+  FakeMesh& mesh = running.m_mesh;
+  std::uint64_t bytes = 0;
+  std::uint64_t messages = 0;
+  mesh.SetLoss([&](const SendMessage& aSend) {
+    if (aSend.m_message->body.type == wire::Body::OperatorRecord) {
+      bytes += aSend.m_message->body.AsOperatorRecord()->content.size();
+      ++messages;
+    }
+    return false;
+  });
+  running.Find(mesh.ReaderOf("east"), 2);
+  REQUIRE(mesh.RunUntil([&] { return running.AllHold(2); }, kInForceMs));
+  mesh.Run(2000);
+  CHECK(messages < 48 * 2);
+  CHECK(bytes < messages * TextOf(2).size() / 50);
+}
+
+TEST_CASE("nodes whose pushes are lost pull the version")
+{
+  OperatorMesh running(24);
+  FakeMesh& mesh = running.m_mesh;
+  Random random{ 9 };
+  mesh.SetLoss([&](const SendMessage& aSend) {
+    return aSend.m_message->body.type == wire::Body::OperatorRecord && random.Below(100) < 50;
+  });
+  for (std::uint64_t version = 2; version <= 8; ++version) {
+    running.Find(mesh.ReaderOf("east"), version);
+    REQUIRE(mesh.RunUntil([&] { return running.AllHold(version); }, 2000));
+  }
+}
+
+TEST_CASE("a restarted node is told the version by its peers, with nobody reading the store")
+{
+  OperatorMesh running(24);
+  FakeMesh& mesh = running.m_mesh;
+  for (std::uint64_t version = 2; version <= 7; ++version) {
+    running.Find(mesh.ReaderOf("east"), version);
+  }
+  REQUIRE(mesh.RunUntil([&] { return running.AllHold(7); }, kInForceMs));
+  mesh.Kill("n5");
+  mesh.Run(1000);
+  mesh.Restart("n5");
+  mesh.Node("n5").m_operatorVersion = 0;
+  CHECK(mesh.RunUntil([&] { return running.AllHold(7); }, 3000));
+}
+
+TEST_CASE("starters, readers and nodes that hear of nobody watch the store, others do not")
+{
+  OperatorMesh running(24);
+  FakeMesh& mesh = running.m_mesh;
+  mesh.Run(2000);
+  std::map<std::string, std::size_t> readers;
+  for (auto& [name, node] : mesh.Nodes()) {
+    readers[node.m_region] += ReadsOperatorRecord(node.m_controller, mesh.Now()) ? 1 : 0;
+  }
+  for (const auto& [region, count] : readers) {
+    CHECK(count >= 2);
+    CHECK(count <= 3);
+  }
+  std::string lonely;
+  for (auto& [name, node] : mesh.Nodes()) {
+    if (!ReadsOperatorRecord(node.m_controller, mesh.Now())) {
+      lonely = name;
+    }
+  }
+  mesh.SetAlone(lonely, true);
+  mesh.Run(2000);
+  CHECK(ReadsOperatorRecord(mesh.Node(lonely).m_controller, mesh.Now()));
+}
--- a/modules/net/src/HttpClient.cpp
+++ b/modules/net/src/HttpClient.cpp
@@ -145,6 +145,16 @@
   return std::max<Milliseconds>(0, seconds * kSecondMs - kIdleMarginMs);
 }
 
+using ResponseParser = http::response_parser<http::string_body>;
+
+// 100 Continue and its like come before the response itself.
+bool
+IsInterim(const HttpResponse& aResponse)
+{
+  return http::to_status_class(aResponse.result()) == http::status_class::informational &&
+         aResponse.result() != http::status::switching_protocols;
+}
+
 HttpResult
 Failed(HttpFailure aFailure, std::string aReason)
 {
@@ -256,22 +266,25 @@
   if (writeError) {
     co_return Failed(HttpFailure::MaybeSent, writeError.message());
   }
-  http::response_parser<http::string_body> parser;
-  parser.body_limit(state->m_options.m_maxBodyBytes);
-  if (aRequest.method() == http::verb::head) {
-    parser.skip(true);
-  }
-  const auto [readError, size] =
-    co_await http::async_read(connection->m_socket, connection->m_buffer, parser, kAsTuple);
+  std::optional<ResponseParser> parser;
+  error_code readError;
+  do {
+    parser.emplace();
+    parser->body_limit(state->m_options.m_maxBodyBytes);
+    parser->skip(aRequest.method() == http::verb::head);
+    const auto [error, size] =
+      co_await http::async_read(connection->m_socket, connection->m_buffer, *parser, kAsTuple);
+    readError = error;
+  } while (!readError && IsInterim(parser->get()));
   HttpResult result;
   result.m_reused = reused;
   if (readError) {
-    result.m_failure = parser.got_some() ? HttpFailure::BadResponse : HttpFailure::MaybeSent;
+    result.m_failure = parser->got_some() ? HttpFailure::BadResponse : HttpFailure::MaybeSent;
     result.m_failure = connection->m_timedOut ? HttpFailure::TimedOut : result.m_failure;
     result.m_reason = connection->m_timedOut ? "no whole response in time" : readError.message();
     co_return result;
   }
-  HttpResponse response = parser.release();
+  HttpResponse response = parser->release();
   if (aBelongs && !aBelongs(response)) {
     result.m_failure = HttpFailure::BadResponse;
     result.m_reason = "the response is not the request's own";
--- a/modules/node/include/Settings.h
+++ b/modules/node/include/Settings.h
@@ -37,6 +37,8 @@
   std::uint64_t m_checkpointEveryMs = 300'000;
   std::uint64_t m_directoryEveryMs = 43'200'000;
   std::uint64_t m_logWaitMs = 2000;
+  /// Time in which the log answers a call, its wait for a record aside.
+  std::uint64_t m_logTimeoutMs = 3000;
   /// Longest hold of a call whose version this node does not have yet.
   std::uint64_t m_versionHoldMs = 200;
   /// Longest time from a stop request to the exit.
--- a/modules/node/src/ControlDuty.cpp
+++ b/modules/node/src/ControlDuty.cpp
@@ -203,6 +203,12 @@
                                 duty->Post(distribution::DirectoryWritten{ .m_ok = ok });
                               });
   }
+  void operator()(const distribution::TakeOperatorRecord& aAction) const
+  {
+    if (m_duty.m_operator) {
+      m_duty.m_operator->Take(aAction.m_text, aAction.m_from);
+    }
+  }
   void operator()(const distribution::AnswerPublish& aAction) const
   {
     m_duty.m_admin->AnswerPublish(aAction);
@@ -287,10 +293,18 @@
   m_controller = distribution::MakeController(options, Clock::Now());
   aHooks.m_feed = [this](Event aEvent) { Feed(std::move(aEvent)); };
   m_admin = std::make_unique<AdminApi>(m_context, m_settings, *this, std::move(aHooks));
-  m_log = std::make_unique<platform::LogClient>(
-    platform::LogClientOptions{ .m_address = m_settings.m_platformLog });
+  m_log = std::make_unique<platform::LogClient>(platform::LogClientOptions{
+    .m_address = m_settings.m_platformLog,
+    .m_timeoutMs = static_cast<Milliseconds>(m_settings.m_timings.m_logTimeoutMs) });
   if (m_settings.m_operatorRecord) {
-    m_operator = std::make_unique<OperatorSource>(m_context, *m_log, m_shared);
+    m_operator = std::make_unique<OperatorSource>(
+      m_context,
+      *m_log,
+      m_shared,
+      OperatorSource::Hooks{
+        .m_reads =
+          [this] { return distribution::ReadsOperatorRecord(*m_controller, Clock::Now()); },
+        .m_feed = [this](Event aEvent) { Feed(std::move(aEvent)); } });
     m_operator->Start();
   } else {
     m_shared.m_snapshot.store(config::MakeSnapshot(*m_controller->m_replay, m_settings.m_region));
--- a/modules/node/src/Headers.cpp
+++ b/modules/node/src/Headers.cpp
@@ -11,7 +11,7 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 17> kHopHeaders{
+constexpr std::array<std::string_view, 18> kHopHeaders{
   "connection",
   "keep-alive",
   "proxy-authenticate",
@@ -22,6 +22,7 @@
   "transfer-encoding",
   "upgrade",
   "content-length",
+  "expect",
   "traceparent",
   "sequoiastep-timeout-ms",
   "sequoiastep-version",
--- a/modules/node/src/OperatorSource.cpp
+++ b/modules/node/src/OperatorSource.cpp
@@ -17,7 +17,9 @@
 
 namespace {
 
-constexpr Milliseconds kReadWaitMs = 20'000;
+// Short, since a connection to the store may fall silent without a reset.
+constexpr Milliseconds kReadWaitMs = 1800;
+constexpr Milliseconds kIdleMs = 100;
 
 using SnapshotPtr = std::shared_ptr<const config::Snapshot>;
 
@@ -36,10 +38,12 @@
 
 OperatorSource::OperatorSource(asio::io_context& aContext,
                                platform::LogClient& aLog,
-                               Shared& aShared)
+                               Shared& aShared,
+                               Hooks aHooks)
   : m_context(aContext)
   , m_log(aLog)
   , m_shared(aShared)
+  , m_hooks(std::move(aHooks))
 {
 }
 
@@ -56,12 +60,9 @@
 }
 
 void
-OperatorSource::Take(const platform::KeyedEntry& aEntry)
+OperatorSource::Take(const std::string& aText, const std::string& aFrom)
 {
-  if (aEntry.m_key != adapter::kOperatorKey || aEntry.m_value.empty()) {
-    return;
-  }
-  const SnapshotPtr next = DecodeOrLog(aEntry.m_value);
+  const SnapshotPtr next = DecodeOrLog(aText);
   const SnapshotPtr held = m_shared.m_snapshot.load();
   if (!next || (held && next->m_version <= held->m_version)) {
     return;
@@ -71,7 +72,38 @@
     .Add("version", next->m_version)
     .Add("before", held ? held->m_version : 0)
     .Add("routes", next->m_effective->m_routes.size())
-    .Add("offset", aEntry.m_offset);
+    .Add("from", aFrom.empty() ? "store" : aFrom);
+  m_hooks.m_feed(distribution::OperatorHeld{ .m_version = next->m_version,
+                                             .m_text = std::make_shared<const std::string>(aText),
+                                             .m_from = aFrom });
+}
+
+void
+OperatorSource::TakeEntry(const platform::KeyedEntry& aEntry)
+{
+  if (aEntry.m_key == adapter::kOperatorKey && !aEntry.m_value.empty()) {
+    Take(aEntry.m_value, {});
+  }
+}
+
+void
+OperatorSource::NoteStore(bool aWorks)
+{
+  if (aWorks) {
+    m_hooks.m_feed(distribution::StoreAnswered{});
+  }
+  if (aWorks != m_storeWorks) {
+    m_storeWorks = aWorks;
+    LogLine(aWorks ? LogLevel::Info : LogLevel::Warning, aWorks ? "store_regained" : "store_lost")
+      .Add("topic", adapter::kOperatorTopic);
+  }
+}
+
+Awaitable<void>
+OperatorSource::Sleep(Milliseconds aDelay)
+{
+  asio::steady_timer timer(m_context, std::chrono::milliseconds(aDelay));
+  co_await timer.async_wait(kAsTuple);
 }
 
 Awaitable<FollowOutcome>
@@ -82,7 +114,7 @@
     auto newest = co_await AwaitLog<platform::NewestReply>(
       m_context, [&](auto aHandler) { m_log.ReadNewest(topic, aHandler); });
     for (const platform::KeyedEntry& entry : newest.m_entries) {
-      Take(entry);
+      TakeEntry(entry);
     }
     aNext = newest.m_next;
     co_return newest.m_ok ? FollowOutcome::Read : FollowOutcome::Failed;
@@ -94,7 +126,7 @@
   for (const platform::LogEntry& entry : read.m_entries) {
     aNext = entry.m_offset + 1;
     if (const auto keyed = adapter::DecodeKeyed(entry)) {
-      Take(*keyed);
+      TakeEntry(*keyed);
     }
   }
   if (read.m_status == platform::ReadStatus::Expired) {
@@ -107,18 +139,18 @@
 OperatorSource::Follow()
 {
   while (!m_stopped) {
+    if (!m_hooks.m_reads()) {
+      // By the time this node reads again, the newest record is all that matters.
+      m_follower = {};
+      co_await Sleep(kIdleMs);
+      continue;
+    }
     std::uint64_t next = 0;
     const FollowOutcome outcome = co_await ReadOnce(next);
-    const bool works = outcome != FollowOutcome::Failed;
-    if (works != m_storeWorks) {
-      m_storeWorks = works;
-      LogLine(works ? LogLevel::Info : LogLevel::Warning, works ? "store_regained" : "store_lost")
-        .Add("topic", adapter::kOperatorTopic);
-    }
+    NoteStore(outcome != FollowOutcome::Failed);
     const Milliseconds delay = distribution::NoteFollowed(m_follower, outcome, next, m_random);
     if (delay > 0) {
-      asio::steady_timer timer(m_context, std::chrono::milliseconds(delay));
-      co_await timer.async_wait(kAsTuple);
+      co_await Sleep(delay);
     }
   }
 }
--- a/modules/node/src/Settings.cpp
+++ b/modules/node/src/Settings.cpp
@@ -48,7 +48,7 @@
   { "own_key_retention_ms", &Limits::m_ownKeyRetentionMs, 1000, 30 * kDayMs },
 } };
 
-constexpr std::array<NumberField<Timings>, 12> kTimingFields{ {
+constexpr std::array<NumberField<Timings>, 13> kTimingFields{ {
   { "heartbeat_ms", &Timings::m_heartbeatMs, 100, 10'000 },
   { "suspect_after_ms", &Timings::m_suspectAfterMs, 500, 60'000 },
   { "join_wait_ms", &Timings::m_joinWaitMs, 100, 60'000 },
@@ -56,6 +56,7 @@
   { "checkpoint_every_ms", &Timings::m_checkpointEveryMs, 1000, kDayMs },
   { "directory_every_ms", &Timings::m_directoryEveryMs, 1000, kDayMs },
   { "log_wait_ms", &Timings::m_logWaitMs, 100, 30'000 },
+  { "log_timeout_ms", &Timings::m_logTimeoutMs, 100, 30'000 },
   { "version_hold_ms", &Timings::m_versionHoldMs, 0, 5000 },
   { "drain_ms", &Timings::m_drainMs, 100, 600'000 },
   { "drain_after_ms", &Timings::m_drainAfterMs, 0, 60'000 },
--- a/modules/wire/include/Messages_generated.h
+++ b/modules/wire/include/Messages_generated.h
@@ -64,6 +64,14 @@
 struct PullBuilder;
 struct PullT;
 
+struct OperatorRecord;
+struct OperatorRecordBuilder;
+struct OperatorRecordT;
+
+struct OperatorPull;
+struct OperatorPullBuilder;
+struct OperatorPullT;
+
 struct RemoteOutcome;
 struct RemoteOutcomeBuilder;
 struct RemoteOutcomeT;
@@ -296,11 +304,13 @@
   Call = 12,
   Answer = 13,
   Cancel = 14,
+  OperatorRecord = 15,
+  OperatorPull = 16,
   MIN = NONE,
-  MAX = Cancel
+  MAX = OperatorPull
 };
 
-inline const Body (&EnumValuesBody())[15] {
+inline const Body (&EnumValuesBody())[17] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -316,13 +326,15 @@
     Body::Whole,
     Body::Call,
     Body::Answer,
-    Body::Cancel
+    Body::Cancel,
+    Body::OperatorRecord,
+    Body::OperatorPull
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[16] = {
+  static const char * const names[18] = {
     "NONE",
     "Hello",
     "Join",
@@ -338,13 +350,15 @@
     "Call",
     "Answer",
     "Cancel",
+    "OperatorRecord",
+    "OperatorPull",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::Cancel)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::OperatorPull)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -409,6 +423,14 @@
   static const Body enum_value = Body::Cancel;
 };
 
+template<> struct BodyTraits<sequoiastep::wire::OperatorRecord> {
+  static const Body enum_value = Body::OperatorRecord;
+};
+
+template<> struct BodyTraits<sequoiastep::wire::OperatorPull> {
+  static const Body enum_value = Body::OperatorPull;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -469,6 +491,14 @@
   static const Body enum_value = Body::Cancel;
 };
 
+template<> struct BodyUnionTraits<sequoiastep::wire::OperatorRecordT> {
+  static const Body enum_value = Body::OperatorRecord;
+};
+
+template<> struct BodyUnionTraits<sequoiastep::wire::OperatorPullT> {
+  static const Body enum_value = Body::OperatorPull;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -611,6 +641,22 @@
     return type == Body::Cancel ?
       reinterpret_cast<const sequoiastep::wire::CancelT *>(value) : nullptr;
   }
+  sequoiastep::wire::OperatorRecordT *AsOperatorRecord() {
+    return type == Body::OperatorRecord ?
+      reinterpret_cast<sequoiastep::wire::OperatorRecordT *>(value) : nullptr;
+  }
+  const sequoiastep::wire::OperatorRecordT *AsOperatorRecord() const {
+    return type == Body::OperatorRecord ?
+      reinterpret_cast<const sequoiastep::wire::OperatorRecordT *>(value) : nullptr;
+  }
+  sequoiastep::wire::OperatorPullT *AsOperatorPull() {
+    return type == Body::OperatorPull ?
+      reinterpret_cast<sequoiastep::wire::OperatorPullT *>(value) : nullptr;
+  }
+  const sequoiastep::wire::OperatorPullT *AsOperatorPull() const {
+    return type == Body::OperatorPull ?
+      reinterpret_cast<const sequoiastep::wire::OperatorPullT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -1300,6 +1346,7 @@
   std::unique_ptr<sequoiastep::wire::DomainSummaryT> subtree{};
   std::vector<std::unique_ptr<sequoiastep::wire::DomainSummaryT>> domains{};
   uint64_t echo = 0;
+  uint64_t operator_version = 0;
   HeartbeatT() = default;
   HeartbeatT(const HeartbeatT &o);
   HeartbeatT(HeartbeatT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1317,7 +1364,8 @@
     VT_LOG_CONTACT_AGE_MS = 10,
     VT_SUBTREE = 12,
     VT_DOMAINS = 14,
-    VT_ECHO = 16
+    VT_ECHO = 16,
+    VT_OPERATOR_VERSION = 18
   };
   uint64_t applied() const {
     return GetField<uint64_t>(VT_APPLIED, 0);
@@ -1340,6 +1388,10 @@
   uint64_t echo() const {
     return GetField<uint64_t>(VT_ECHO, 0);
   }
+  /// Version of the operator's record that the sender holds; 0 if none.
+  uint64_t operator_version() const {
+    return GetField<uint64_t>(VT_OPERATOR_VERSION, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_APPLIED, 8) &&
@@ -1352,6 +1404,7 @@
            verifier.VerifyVector(domains()) &&
            verifier.VerifyVectorOfTables(domains()) &&
            VerifyField<uint64_t>(verifier, VT_ECHO, 8) &&
+           VerifyField<uint64_t>(verifier, VT_OPERATOR_VERSION, 8) &&
            verifier.EndTable();
   }
   HeartbeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1384,6 +1437,9 @@
   void add_echo(uint64_t echo) {
     fbb_.AddElement<uint64_t>(Heartbeat::VT_ECHO, echo, 0);
   }
+  void add_operator_version(uint64_t operator_version) {
+    fbb_.AddElement<uint64_t>(Heartbeat::VT_OPERATOR_VERSION, operator_version, 0);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1403,8 +1459,10 @@
     uint32_t log_contact_age_ms = 4294967295,
     flatbuffers::Offset<sequoiastep::wire::DomainSummary> subtree = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sequoiastep::wire::DomainSummary>>> domains = 0,
-    uint64_t echo = 0) {
+    uint64_t echo = 0,
+    uint64_t operator_version = 0) {
   HeartbeatBuilder builder_(_fbb);
+  builder_.add_operator_version(operator_version);
   builder_.add_echo(echo);
   builder_.add_member_digest(member_digest);
   builder_.add_version(version);
@@ -1428,7 +1486,8 @@
     uint32_t log_contact_age_ms = 4294967295,
     flatbuffers::Offset<sequoiastep::wire::DomainSummary> subtree = 0,
     const std::vector<flatbuffers::Offset<sequoiastep::wire::DomainSummary>> *domains = nullptr,
-    uint64_t echo = 0) {
+    uint64_t echo = 0,
+    uint64_t operator_version = 0) {
   auto domains__ = domains ? _fbb.CreateVector<flatbuffers::Offset<sequoiastep::wire::DomainSummary>>(*domains) : 0;
   return sequoiastep::wire::CreateHeartbeat(
       _fbb,
@@ -1438,7 +1497,8 @@
       log_contact_age_ms,
       subtree,
       domains__,
-      echo);
+      echo,
+      operator_version);
 }
 
 flatbuffers::Offset<Heartbeat> CreateHeartbeat(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1897,6 +1957,161 @@
 
 flatbuffers::Offset<Pull> CreatePull(flatbuffers::FlatBufferBuilder &_fbb, const PullT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct OperatorRecordT : public flatbuffers::NativeTable {
+  typedef OperatorRecord TableType;
+  uint64_t version = 0;
+  uint64_t base_version = 0;
+  std::vector<uint8_t> content{};
+};
+
+/// The operator's record as text, compressed against the text of base_version, or by itself if that
+/// is 0.
+struct OperatorRecord FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef OperatorRecordT NativeTableType;
+  typedef OperatorRecordBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_VERSION = 4,
+    VT_BASE_VERSION = 6,
+    VT_CONTENT = 8
+  };
+  uint64_t version() const {
+    return GetField<uint64_t>(VT_VERSION, 0);
+  }
+  uint64_t base_version() const {
+    return GetField<uint64_t>(VT_BASE_VERSION, 0);
+  }
+  const flatbuffers::Vector<uint8_t> *content() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_CONTENT);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_VERSION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_BASE_VERSION, 8) &&
+           VerifyOffset(verifier, VT_CONTENT) &&
+           verifier.VerifyVector(content()) &&
+           verifier.EndTable();
+  }
+  OperatorRecordT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(OperatorRecordT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<OperatorRecord> Pack(flatbuffers::FlatBufferBuilder &_fbb, const OperatorRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct OperatorRecordBuilder {
+  typedef OperatorRecord Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_version(uint64_t version) {
+    fbb_.AddElement<uint64_t>(OperatorRecord::VT_VERSION, version, 0);
+  }
+  void add_base_version(uint64_t base_version) {
+    fbb_.AddElement<uint64_t>(OperatorRecord::VT_BASE_VERSION, base_version, 0);
+  }
+  void add_content(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> content) {
+    fbb_.AddOffset(OperatorRecord::VT_CONTENT, content);
+  }
+  explicit OperatorRecordBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<OperatorRecord> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<OperatorRecord>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<OperatorRecord> CreateOperatorRecord(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t version = 0,
+    uint64_t base_version = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> content = 0) {
+  OperatorRecordBuilder builder_(_fbb);
+  builder_.add_base_version(base_version);
+  builder_.add_version(version);
+  builder_.add_content(content);
+  return builder_.Finish();
+}
+
+struct OperatorRecord::Traits {
+  using type = OperatorRecord;
+  static auto constexpr Create = CreateOperatorRecord;
+};
+
+inline flatbuffers::Offset<OperatorRecord> CreateOperatorRecordDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t version = 0,
+    uint64_t base_version = 0,
+    const std::vector<uint8_t> *content = nullptr) {
+  auto content__ = content ? _fbb.CreateVector<uint8_t>(*content) : 0;
+  return sequoiastep::wire::CreateOperatorRecord(
+      _fbb,
+      version,
+      base_version,
+      content__);
+}
+
+flatbuffers::Offset<OperatorRecord> CreateOperatorRecord(flatbuffers::FlatBufferBuilder &_fbb, const OperatorRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct OperatorPullT : public flatbuffers::NativeTable {
+  typedef OperatorPull TableType;
+  uint64_t held = 0;
+};
+
+/// Asks for the newest operator's record.
+struct OperatorPull FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef OperatorPullT NativeTableType;
+  typedef OperatorPullBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_HELD = 4
+  };
+  uint64_t held() const {
+    return GetField<uint64_t>(VT_HELD, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_HELD, 8) &&
+           verifier.EndTable();
+  }
+  OperatorPullT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(OperatorPullT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<OperatorPull> Pack(flatbuffers::FlatBufferBuilder &_fbb, const OperatorPullT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct OperatorPullBuilder {
+  typedef OperatorPull Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_held(uint64_t held) {
+    fbb_.AddElement<uint64_t>(OperatorPull::VT_HELD, held, 0);
+  }
+  explicit OperatorPullBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<OperatorPull> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<OperatorPull>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<OperatorPull> CreateOperatorPull(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t held = 0) {
+  OperatorPullBuilder builder_(_fbb);
+  builder_.add_held(held);
+  return builder_.Finish();
+}
+
+struct OperatorPull::Traits {
+  using type = OperatorPull;
+  static auto constexpr Create = CreateOperatorPull;
+};
+
+flatbuffers::Offset<OperatorPull> CreateOperatorPull(flatbuffers::FlatBufferBuilder &_fbb, const OperatorPullT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct RemoteOutcomeT : public flatbuffers::NativeTable {
   typedef RemoteOutcome TableType;
   std::string publish_id{};
@@ -3151,6 +3366,12 @@
   const sequoiastep::wire::Cancel *body_as_Cancel() const {
     return body_type() == sequoiastep::wire::Body::Cancel ? static_cast<const sequoiastep::wire::Cancel *>(body()) : nullptr;
   }
+  const sequoiastep::wire::OperatorRecord *body_as_OperatorRecord() const {
+    return body_type() == sequoiastep::wire::Body::OperatorRecord ? static_cast<const sequoiastep::wire::OperatorRecord *>(body()) : nullptr;
+  }
+  const sequoiastep::wire::OperatorPull *body_as_OperatorPull() const {
+    return body_type() == sequoiastep::wire::Body::OperatorPull ? static_cast<const sequoiastep::wire::OperatorPull *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -3219,6 +3440,14 @@
   return body_as_Cancel();
 }
 
+template<> inline const sequoiastep::wire::OperatorRecord *Envelope::body_as<sequoiastep::wire::OperatorRecord>() const {
+  return body_as_OperatorRecord();
+}
+
+template<> inline const sequoiastep::wire::OperatorPull *Envelope::body_as<sequoiastep::wire::OperatorPull>() const {
+  return body_as_OperatorPull();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -3631,7 +3860,8 @@
         member_digest(o.member_digest),
         log_contact_age_ms(o.log_contact_age_ms),
         subtree((o.subtree) ? new sequoiastep::wire::DomainSummaryT(*o.subtree) : nullptr),
-        echo(o.echo) {
+        echo(o.echo),
+        operator_version(o.operator_version) {
   domains.reserve(o.domains.size());
   for (const auto &domains_ : o.domains) { domains.emplace_back((domains_) ? new sequoiastep::wire::DomainSummaryT(*domains_) : nullptr); }
 }
@@ -3644,6 +3874,7 @@
   std::swap(subtree, o.subtree);
   std::swap(domains, o.domains);
   std::swap(echo, o.echo);
+  std::swap(operator_version, o.operator_version);
   return *this;
 }
 
@@ -3663,6 +3894,7 @@
   { auto _e = subtree(); if (_e) _o->subtree = std::unique_ptr<sequoiastep::wire::DomainSummaryT>(_e->UnPack(_resolver)); }
   { auto _e = domains(); if (_e) { _o->domains.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->domains[_i] = std::unique_ptr<sequoiastep::wire::DomainSummaryT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = echo(); _o->echo = _e; }
+  { auto _e = operator_version(); _o->operator_version = _e; }
 }
 
 inline flatbuffers::Offset<Heartbeat> Heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3680,6 +3912,7 @@
   auto _subtree = _o->subtree ? CreateDomainSummary(_fbb, _o->subtree.get(), _rehasher) : 0;
   auto _domains = _o->domains.size() ? _fbb.CreateVector<flatbuffers::Offset<sequoiastep::wire::DomainSummary>> (_o->domains.size(), [](size_t i, _VectorArgs *__va) { return CreateDomainSummary(*__va->__fbb, __va->__o->domains[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _echo = _o->echo;
+  auto _operator_version = _o->operator_version;
   return sequoiastep::wire::CreateHeartbeat(
       _fbb,
       _applied,
@@ -3688,7 +3921,8 @@
       _log_contact_age_ms,
       _subtree,
       _domains,
-      _echo);
+      _echo,
+      _operator_version);
 }
 
 inline MemberUpdateT::MemberUpdateT(const MemberUpdateT &o) {
@@ -3858,6 +4092,64 @@
       _nonce);
 }
 
+inline OperatorRecordT *OperatorRecord::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<OperatorRecordT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void OperatorRecord::UnPackTo(OperatorRecordT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = version(); _o->version = _e; }
+  { auto _e = base_version(); _o->base_version = _e; }
+  { auto _e = content(); if (_e) { _o->content.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->content.begin()); } }
+}
+
+inline flatbuffers::Offset<OperatorRecord> OperatorRecord::Pack(flatbuffers::FlatBufferBuilder &_fbb, const OperatorRecordT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateOperatorRecord(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<OperatorRecord> CreateOperatorRecord(flatbuffers::FlatBufferBuilder &_fbb, const OperatorRecordT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const OperatorRecordT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _version = _o->version;
+  auto _base_version = _o->base_version;
+  auto _content = _o->content.size() ? _fbb.CreateVector(_o->content) : 0;
+  return sequoiastep::wire::CreateOperatorRecord(
+      _fbb,
+      _version,
+      _base_version,
+      _content);
+}
+
+inline OperatorPullT *OperatorPull::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<OperatorPullT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void OperatorPull::UnPackTo(OperatorPullT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = held(); _o->held = _e; }
+}
+
+inline flatbuffers::Offset<OperatorPull> OperatorPull::Pack(flatbuffers::FlatBufferBuilder &_fbb, const OperatorPullT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateOperatorPull(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<OperatorPull> CreateOperatorPull(flatbuffers::FlatBufferBuilder &_fbb, const OperatorPullT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const OperatorPullT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _held = _o->held;
+  return sequoiastep::wire::CreateOperatorPull(
+      _fbb,
+      _held);
+}
+
 inline RemoteOutcomeT *RemoteOutcome::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<RemoteOutcomeT>();
   UnPackTo(_o.get(), _resolver);
@@ -4449,6 +4741,14 @@
       auto ptr = reinterpret_cast<const sequoiastep::wire::Cancel *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::OperatorRecord: {
+      auto ptr = reinterpret_cast<const sequoiastep::wire::OperatorRecord *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::OperatorPull: {
+      auto ptr = reinterpret_cast<const sequoiastep::wire::OperatorPull *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -4524,6 +4824,14 @@
       auto ptr = reinterpret_cast<const sequoiastep::wire::Cancel *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::OperatorRecord: {
+      auto ptr = reinterpret_cast<const sequoiastep::wire::OperatorRecord *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::OperatorPull: {
+      auto ptr = reinterpret_cast<const sequoiastep::wire::OperatorPull *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -4587,6 +4895,14 @@
       auto ptr = reinterpret_cast<const sequoiastep::wire::CancelT *>(value);
       return CreateCancel(_fbb, ptr, _rehasher).Union();
     }
+    case Body::OperatorRecord: {
+      auto ptr = reinterpret_cast<const sequoiastep::wire::OperatorRecordT *>(value);
+      return CreateOperatorRecord(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::OperatorPull: {
+      auto ptr = reinterpret_cast<const sequoiastep::wire::OperatorPullT *>(value);
+      return CreateOperatorPull(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -4649,6 +4965,14 @@
       value = new sequoiastep::wire::CancelT(*reinterpret_cast<sequoiastep::wire::CancelT *>(u.value));
       break;
     }
+    case Body::OperatorRecord: {
+      value = new sequoiastep::wire::OperatorRecordT(*reinterpret_cast<sequoiastep::wire::OperatorRecordT *>(u.value));
+      break;
+    }
+    case Body::OperatorPull: {
+      value = new sequoiastep::wire::OperatorPullT(*reinterpret_cast<sequoiastep::wire::OperatorPullT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -4726,6 +5050,16 @@
       delete ptr;
       break;
     }
+    case Body::OperatorRecord: {
+      auto ptr = reinterpret_cast<sequoiastep::wire::OperatorRecordT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::OperatorPull: {
+      auto ptr = reinterpret_cast<sequoiastep::wire::OperatorPullT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
