Ask the same target again if it stays the best after a refusal for lack of room

Cause: after two refusals for lack of room a download was offered to other regions next, whatever its bytes cost. Change: each try picks anew among all that did not fail, with the loads just told; if the best one is one that had no room, its wait is accepted.

--- a/modules/node/src/AdminApi.cpp
+++ b/modules/node/src/AdminApi.cpp
@@ -270,7 +270,7 @@
   }
   co_return MakeProblem(http::status::not_found,
                         CallOutcome::NotRun,
-                        "no such admin path or method; see docs/OPERATING.md");
+                        "no such admin path or method; see docs/OPERATIONS.md");
 }
 
 } // namespace sequoiastep::node
--- a/modules/node/src/CallsDutyRoute.cpp
+++ b/modules/node/src/CallsDutyRoute.cpp
@@ -411,7 +411,7 @@
   routing::RetryBudget& budget = BudgetOf(aJob.m_call.service);
   routing::NoteRequest(budget, Clock::Now());
   std::set<std::string, std::less<>> failed;
-  std::set<std::string, std::less<>> tried;
+  std::set<std::string, std::less<>> full;
   AnswerT answer;
   answer.outcome = CallOutcome::NotRun;
   answer.reason = "the service has no target now";
@@ -419,33 +419,24 @@
   routing::RetryQuestion question{ .m_repeat = aJob.m_repeat,
                                    .m_handovers = 0,
                                    .m_maxAttempts = aJob.m_maxAttempts };
-  std::uint32_t shortTries = 0;
   RetryVerdict verdict = RetryVerdict::TryFree;
   while (verdict != RetryVerdict::Stop) {
-    bool lastRound = shortTries >= kShortWaitTries;
-    auto target = lastRound ? std::nullopt : PickTarget(aJob, tried);
-    if (!target) {
-      lastRound = true;
-      target = PickTarget(aJob, failed);
-    }
+    const auto target = PickTarget(aJob, failed);
     if (!target) {
       break;
     }
+    // A target that had no room and is still the best one is worth its wait.
+    const bool lastRound = full.contains(target->m_node) || full.size() >= kShortWaitTries;
     if (question.m_handovers > 0) {
       m_shared.m_calls.m_retries.fetch_add(1, std::memory_order_relaxed);
     }
     aJob.m_call.most_wait_ms = lastRound ? kAnyWait : static_cast<std::uint32_t>(ShortWait(aJob));
     lastNode = target->m_node;
-    tried.insert(lastNode);
     ++question.m_handovers;
     AnswerT next;
     question.m_outcome = co_await TryTarget(aJob, *target, next);
-    const bool full = question.m_outcome == AttemptOutcome::Overloaded;
-    if (full) {
-      ++shortTries;
-    } else {
-      failed.insert(lastNode);
-    }
+    const bool hadNoRoom = question.m_outcome == AttemptOutcome::Overloaded;
+    (hadNoRoom ? full : failed).insert(lastNode);
     const bool charged = verdict == RetryVerdict::TryCharged;
     if (charged && !next.arrived) {
       routing::ReturnRepeat(budget, Clock::Now());
@@ -455,7 +446,8 @@
     if (!charged || next.arrived) {
       answer = std::move(next);
     }
-    if ((answer.outcome == CallOutcome::Done && !IsServerError(answer)) || (full && lastRound)) {
+    if ((answer.outcome == CallOutcome::Done && !IsServerError(answer)) ||
+        (hadNoRoom && lastRound)) {
       break;
     }
     question.m_leftMs = aJob.m_deadline - Clock::Now();
