--- a/modules/routing/tests/RoutingTest.cpp
+++ b/modules/routing/tests/RoutingTest.cpp
@@ -217,6 +217,152 @@
   CHECK(Finish(gate, kNow + 3, 0).m_run == std::vector<std::uint64_t>{ 3 });
 }
 
+TEST_CASE("waiting requests go by rank, then those that can still meet their objective")
+{
+  SlotGate gate;
+  gate.m_options = { .m_slots = 1, .m_queue = 10, .m_queueMs = 10'000 };
+  gate.m_serviceUs = 100'000;
+  const Instant deadline = kNow + 5000;
+  const auto offer = [&](std::uint64_t aId, std::uint32_t aPriority, Milliseconds aObjectiveMs) {
+    return Offer(gate,
+                 { .m_id = aId,
+                   .m_caller = "a",
+                   .m_priority = aPriority,
+                   .m_deadline = deadline,
+                   .m_objective = kNow + aObjectiveMs },
+                 kNow)
+      .m_admission;
+  };
+  CHECK(offer(1, 2, 500) == Admission::Run);
+  CHECK(offer(2, 2, 50) == Admission::Wait); // Too late for its objective already.
+  CHECK(offer(3, 2, 900) == Admission::Wait);
+  CHECK(offer(4, 2, 400) == Admission::Wait);
+  CHECK(offer(5, 0, 3000) == Admission::Wait);
+  std::vector<std::uint64_t> order;
+  for (int i = 0; i < 4; ++i) {
+    const GateDecision next = Finish(gate, kNow + 10, 0);
+    order.insert(order.end(), next.m_run.begin(), next.m_run.end());
+  }
+  CHECK(order == std::vector<std::uint64_t>{ 5, 4, 3, 2 });
+}
+
+TEST_CASE("under overload more requests meet their objective than in order of arrival")
+{
+  // 20 requests of 100 ms arrive at once for one slot; an objective of 500 ms can be met by five.
+  SlotGate gate;
+  gate.m_options = { .m_slots = 1, .m_queue = 100, .m_queueMs = 60'000 };
+  gate.m_serviceUs = 100'000;
+  Instant now = kNow;
+  int met = 0;
+  int shed = 0;
+  std::uint64_t id = 0;
+  std::map<std::uint64_t, Instant> objectives;
+  std::uint64_t running = 0;
+  for (int step = 0; step < 100; ++step) {
+    for (int arrival = 0; arrival < 2; ++arrival) {
+      const GateRequest request{
+        .m_id = ++id, .m_caller = "a", .m_deadline = now + 2000, .m_objective = now + 500
+      };
+      objectives[id] = request.m_objective;
+      const Admission admission = Offer(gate, request, now).m_admission;
+      running = admission == Admission::Run ? id : running;
+      shed += admission == Admission::Shed ? 1 : 0;
+    }
+    now = now + 100;
+    met += now <= objectives[running] ? 1 : 0;
+    const GateDecision next = Finish(gate, now, 0);
+    REQUIRE(next.m_run.size() == 1);
+    running = next.m_run.front();
+    shed += static_cast<int>(next.m_shed.size());
+  }
+  CHECK(met >= 95);
+  CHECK(shed > 50);
+}
+
+TEST_CASE("a request that would rather go elsewhere is told how long it would wait")
+{
+  SlotGate gate;
+  gate.m_options = { .m_slots = 2, .m_queue = 10, .m_queueMs = 10'000 };
+  gate.m_serviceUs = 200'000;
+  const GateRequest patient{ .m_id = 1, .m_caller = "a", .m_deadline = kNow + 5000 };
+  Offer(gate, patient, kNow);
+  Offer(gate, patient, kNow);
+  GateRequest hasty = patient;
+  hasty.m_mostWaitMs = 50;
+  const GateAnswer answer = Offer(gate, hasty, kNow);
+  CHECK(answer.m_admission == Admission::Shed);
+  CHECK(answer.m_waitMs == 100);
+  hasty.m_mostWaitMs = 100;
+  CHECK(Offer(gate, hasty, kNow).m_admission == Admission::Wait);
+}
+
+TEST_CASE("what would start too late for its deadline is turned away as soon as that shows")
+{
+  SlotGate gate;
+  gate.m_options = { .m_slots = 1, .m_queue = 10, .m_queueMs = 10'000 };
+  gate.m_serviceUs = 100'000;
+  const auto offer = [&](std::uint64_t aId, std::uint32_t aPriority, Milliseconds aDeadlineMs) {
+    return Offer(gate,
+                 { .m_id = aId,
+                   .m_caller = "a",
+                   .m_priority = aPriority,
+                   .m_deadline = kNow + aDeadlineMs },
+                 kNow)
+      .m_admission;
+  };
+  CHECK(offer(1, 1, 1000) == Admission::Run);
+  CHECK(offer(2, 1, 250) == Admission::Wait);
+  CHECK(offer(3, 0, 1000) == Admission::Wait);
+  CHECK(offer(4, 0, 1000) == Admission::Wait);
+  const GateDecision decision = Review(gate, kNow + 1);
+  CHECK(decision.m_shed == std::vector<std::uint64_t>{ 2 });
+}
+
+TEST_CASE("large answers stay in their failure domain until the wait outweighs the bytes")
+{
+  const auto candidates = SixTargets();
+  PickState state;
+  for (const Candidate& candidate : candidates) {
+    state.m_targets[candidate.m_node].m_serviceUs = 100'000;
+    state.m_targets[candidate.m_node].m_latencyUs = 100'000;
+  }
+  for (const char* node : { "east-a1", "east-a2" }) {
+    state.m_targets[node].m_reported = 12;
+    state.m_targets[node].m_reportedAt = kNow;
+  }
+  const auto domainOf = [&](double aKilobytes) {
+    Random random{ 5 };
+    const auto picked = Pick(candidates,
+                             state,
+                             { .m_region = "east",
+                               .m_failureDomain = "east-a",
+                               .m_kilobytes = aKilobytes,
+                               .m_objectiveMs = 100 },
+                             kNow,
+                             random);
+    return candidates[*picked].m_failureDomain;
+  };
+  CHECK(domainOf(1) == "east-b");
+  CHECK(domainOf(90) == "east-a");
+  for (const char* node : { "east-a1", "east-a2" }) {
+    state.m_targets[node].m_reported = 60;
+  }
+  CHECK(domainOf(90) == "east-b");
+}
+
+TEST_CASE("a slow target is left to wait for others' queues")
+{
+  auto candidates = SixTargets();
+  candidates.resize(2);
+  PickState state;
+  state.m_targets["east-a1"].m_serviceUs = 500'000;
+  state.m_targets["east-a2"].m_serviceUs = 100'000;
+  CHECK(CountPicks(candidates, state)["east-a2"] == kPicks);
+  state.m_targets["east-a2"].m_reported = 60;
+  state.m_targets["east-a2"].m_reportedAt = kNow;
+  CHECK(CountPicks(candidates, state)["east-a1"] == kPicks);
+}
+
 TEST_CASE("only what did not run or may be repeated is tried again, inside deadline and budget")
 {
   RetryBudget budget;
--- a/tests/whole/outcomes.sh
+++ b/tests/whole/outcomes.sh
@@ -48,6 +48,12 @@
 expect "a request that may run once was broken off" "$before" "$(cancelled 3)"
 expect "runs of left" 1 "$(runs_of left)"
 
+# The same at the node beside the target: the caller of its own target leaves in the run and in the queue.
+for i in $(seq 12); do curl -s -o /dev/null -m 0.1 "http://$(caller_of 3)/jobs/$i" & LEAVING+=($!); done
+wait "${LEAVING[@]}"
+expect "after callers of the node's own target left" "200" "$(curl -s -o /dev/null -w '%{http_code}' "http://$(caller_of 3)/jobs/1")"
+kill -0 "${NODE_PID[3]}" || fail "the node ended when callers of its own target left"
+
 # More than slots and queue can take: the rest is turned away, and was not run.
 for i in $(seq 40); do send "full-$i" >"$MESH_DIR/full-$i" & FULL+=($!); done
 wait "${FULL[@]}"
