--- a/modules/node/src/AdminApi.cpp
+++ b/modules/node/src/AdminApi.cpp
@@ -6,6 +6,7 @@
 #include "Problem.h"
 #include "Trace.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <chrono>
 #include <fmt/core.h>
@@ -189,7 +190,8 @@
     { { "node", self.m_node },
       { "region", self.m_region },
       { "failure_domain", self.m_failureDomain },
-      { "version", controller.m_replay->m_version },
+      { "version",
+        std::max(controller.m_replay->m_version, distribution::HeldOperatorVersion(controller)) },
       { "position", controller.m_replay->m_position },
       { "digest", fmt::format("{:016x}", controller.m_replay->m_digest) },
       { "ready", controller.m_ready },
--- a/modules/node/src/Metrics.cpp
+++ b/modules/node/src/Metrics.cpp
@@ -1,6 +1,7 @@
 #include "Metrics.h"
 
 #include <array>
+#include <algorithm>
 #include <fmt/core.h>
 
 namespace sequoiastep::node {
@@ -38,7 +39,8 @@
   const auto line = [&](std::string_view aName, std::uint64_t aValue) {
     text += fmt::format("sequoiastep_{} {}\n", aName, aValue);
   };
-  line("config_version", aController.m_replay->m_version);
+  line("config_version",
+       std::max(aController.m_replay->m_version, distribution::HeldOperatorVersion(aController)));
   line("config_position", aController.m_replay->m_position);
   line("ready", aController.m_ready ? 1 : 0);
   line("replay_blocked", aController.m_blockedReason.empty() ? 0 : 1);
