--- a/modules/distribution/src/ControllerPriv.h
+++ b/modules/distribution/src/ControllerPriv.h
@@ -95,8 +95,8 @@
 void
 ReplayFromLog(Turn& aTurn, const LogRecordBody& aRecord);
 
-/// @return the peers that this node passes news on to: its children in the tree, and as a reader the
-/// heads of the region's domains unless the news came from one of the region.
+/// @return the peers that this node passes news on to: its children in the tree, and as a reader
+/// the heads of the region's domains unless the news came from one of the region.
 std::set<std::string, std::less<>>
 PassOnTargets(const Controller& aController, std::string_view aFrom);
 
--- a/modules/node/src/CallsDuty.h
+++ b/modules/node/src/CallsDuty.h
@@ -74,6 +74,7 @@
 
 private:
   struct Inbound;
+  struct Attempts;
   using InboundPtr = std::shared_ptr<Inbound>;
   using Latency = boost::accumulators::accumulator_set<
     double,
@@ -109,6 +110,9 @@
   net::Awaitable<routing::AttemptOutcome> TryTarget(const CallJob& aJob,
                                                     const routing::Candidate& aTarget,
                                                     wire::AnswerT& aAnswer);
+  std::optional<routing::Candidate> NextTarget(CallJob& aJob, Attempts& aAttempts);
+  void TakeAttempt(const CallJob& aJob, Attempts& aAttempts, wire::AnswerT aNext);
+  static void LogFailure(const CallJob& aJob, const Attempts& aAttempts);
   net::Awaitable<net::HttpResponse> RunJob(CallJob aJob);
   void NoteLatency(std::int64_t aElapsedUs);
   net::Awaitable<void> Serve(InboundPtr aInbound,
--- a/modules/node/src/CallsDutyRoute.cpp
+++ b/modules/node/src/CallsDutyRoute.cpp
@@ -119,6 +119,21 @@
   double m_kilobytes = 1;
 };
 
+// What came of a call's attempts so far.
+struct CallsDuty::Attempts
+{
+  /// Nodes that are not tried again for this call.
+  std::set<std::string, std::less<>> m_failed;
+  std::set<std::string, std::less<>> m_hadNoRoom;
+  std::string m_lastNode;
+  /// The current attempt accepts any wait.
+  bool m_lastRound = false;
+  RetryVerdict m_verdict = RetryVerdict::TryFree;
+  routing::RetryQuestion m_question;
+  /// What the caller gets if nothing better comes.
+  AnswerT m_answer;
+};
+
 bool
 CallsDuty::MayOverlap(const HttpRequest& aRequest) const
 {
@@ -403,73 +418,96 @@
   return kShortWaitMs + static_cast<Milliseconds>(aJob.m_kilobytes * prices.m_crossDomainMsPerKb);
 }
 
+// The next target for a call, or nothing if none is left. Tells the call how long it may wait
+// there.
+std::optional<routing::Candidate>
+CallsDuty::NextTarget(CallJob& aJob, Attempts& aAttempts)
+{
+  auto target = PickTarget(aJob, aAttempts.m_failed);
+  if (!target) {
+    return std::nullopt;
+  }
+  // A target that had no room and is still the best one is worth its wait.
+  aAttempts.m_lastRound = aAttempts.m_hadNoRoom.contains(target->m_node) ||
+                          aAttempts.m_hadNoRoom.size() >= kShortWaitTries;
+  aJob.m_call.most_wait_ms =
+    aAttempts.m_lastRound ? kAnyWait : static_cast<std::uint32_t>(ShortWait(aJob));
+  if (aAttempts.m_question.m_handovers > 0) {
+    m_shared.m_calls.m_retries.fetch_add(1, std::memory_order_relaxed);
+  }
+  aAttempts.m_lastNode = target->m_node;
+  ++aAttempts.m_question.m_handovers;
+  return target;
+}
+
+// Takes what came of an attempt and decides whether there is another one.
+void
+CallsDuty::TakeAttempt(const CallJob& aJob, Attempts& aAttempts, AnswerT aNext)
+{
+  routing::RetryBudget& budget = BudgetOf(aJob.m_call.service);
+  const bool hadNoRoom = aAttempts.m_question.m_outcome == AttemptOutcome::Overloaded;
+  (hadNoRoom ? aAttempts.m_hadNoRoom : aAttempts.m_failed).insert(aAttempts.m_lastNode);
+  const bool charged = aAttempts.m_verdict == RetryVerdict::TryCharged;
+  if (charged && !aNext.arrived) {
+    routing::ReturnRepeat(budget, Clock::Now());
+  }
+  aAttempts.m_question.m_arrivals += aNext.arrived ? 1 : 0;
+  // What an earlier target may have done outweighs that a later one did nothing.
+  if (!charged || aNext.arrived) {
+    aAttempts.m_answer = std::move(aNext);
+  }
+  if (hadNoRoom && aAttempts.m_lastRound) {
+    aAttempts.m_verdict = RetryVerdict::Stop;
+    return;
+  }
+  aAttempts.m_question.m_leftMs = aJob.m_deadline - Clock::Now();
+  aAttempts.m_verdict = routing::MayRetry(budget, aAttempts.m_question, Clock::Now());
+}
+
 Awaitable<HttpResponse>
 CallsDuty::RunJob(CallJob aJob)
 {
   const Span span(TraceOf(aJob.m_call), "route", m_random);
   aJob.m_call.parent_span = span.Context().m_parent;
-  routing::RetryBudget& budget = BudgetOf(aJob.m_call.service);
-  routing::NoteRequest(budget, Clock::Now());
-  std::set<std::string, std::less<>> failed;
-  std::set<std::string, std::less<>> full;
-  AnswerT answer;
-  answer.outcome = CallOutcome::NotRun;
-  answer.reason = "the service has no target now";
-  std::string lastNode;
-  routing::RetryQuestion question{ .m_repeat = aJob.m_repeat,
-                                   .m_handovers = 0,
-                                   .m_maxAttempts = aJob.m_maxAttempts };
-  RetryVerdict verdict = RetryVerdict::TryFree;
-  while (verdict != RetryVerdict::Stop) {
-    const auto target = PickTarget(aJob, failed);
+  routing::NoteRequest(BudgetOf(aJob.m_call.service), Clock::Now());
+  Attempts attempts;
+  attempts.m_answer.outcome = CallOutcome::NotRun;
+  attempts.m_answer.reason = "the service has no target now";
+  attempts.m_question.m_repeat = aJob.m_repeat;
+  attempts.m_question.m_handovers = 0;
+  attempts.m_question.m_maxAttempts = aJob.m_maxAttempts;
+  while (attempts.m_verdict != RetryVerdict::Stop) {
+    const auto target = NextTarget(aJob, attempts);
     if (!target) {
       break;
     }
-    // A target that had no room and is still the best one is worth its wait.
-    const bool lastRound = full.contains(target->m_node) || full.size() >= kShortWaitTries;
-    if (question.m_handovers > 0) {
-      m_shared.m_calls.m_retries.fetch_add(1, std::memory_order_relaxed);
-    }
-    aJob.m_call.most_wait_ms = lastRound ? kAnyWait : static_cast<std::uint32_t>(ShortWait(aJob));
-    lastNode = target->m_node;
-    ++question.m_handovers;
     AnswerT next;
-    question.m_outcome = co_await TryTarget(aJob, *target, next);
-    const bool hadNoRoom = question.m_outcome == AttemptOutcome::Overloaded;
-    (hadNoRoom ? full : failed).insert(lastNode);
-    const bool charged = verdict == RetryVerdict::TryCharged;
-    if (charged && !next.arrived) {
-      routing::ReturnRepeat(budget, Clock::Now());
-    }
-    question.m_arrivals += next.arrived ? 1 : 0;
-    // What an earlier target may have done outweighs that a later one did nothing.
-    if (!charged || next.arrived) {
-      answer = std::move(next);
-    }
-    if ((answer.outcome == CallOutcome::Done && !IsServerError(answer)) ||
-        (hadNoRoom && lastRound)) {
-      break;
-    }
-    question.m_leftMs = aJob.m_deadline - Clock::Now();
-    verdict = routing::MayRetry(budget, question, Clock::Now());
+    attempts.m_question.m_outcome = co_await TryTarget(aJob, *target, next);
+    TakeAttempt(aJob, attempts, std::move(next));
   }
   NoteLatency(span.ElapsedUs());
-  span.End(NameOf(answer.outcome), lastNode);
-  if (answer.outcome == CallOutcome::Done) {
-    NoteAnswerSize(aJob.m_call.route, answer.body.size());
+  span.End(NameOf(attempts.m_answer.outcome), attempts.m_lastNode);
+  if (attempts.m_answer.outcome == CallOutcome::Done) {
+    NoteAnswerSize(aJob.m_call.route, attempts.m_answer.body.size());
   } else {
-    LogLine(LogLevel::Info, "request_failed")
-      .Add("id", aJob.m_call.request_id)
-      .Add("service", aJob.m_call.service)
-      .Add("outcome", NameOf(answer.outcome))
-      .Add("reason", answer.reason)
-      .Add("last_node", lastNode)
-      .Add("handovers", question.m_handovers)
-      .Add("arrivals", question.m_arrivals)
-      .Add("elapsed_ms", Clock::Now() - aJob.m_startedAt)
-      .Add("left_ms", aJob.m_deadline - Clock::Now());
+    LogFailure(aJob, attempts);
   }
-  co_return Respond(aJob, answer);
+  co_return Respond(aJob, attempts.m_answer);
+}
+
+void
+CallsDuty::LogFailure(const CallJob& aJob, const Attempts& aAttempts)
+{
+  LogLine(LogLevel::Info, "request_failed")
+    .Add("id", aJob.m_call.request_id)
+    .Add("service", aJob.m_call.service)
+    .Add("outcome", NameOf(aAttempts.m_answer.outcome))
+    .Add("reason", aAttempts.m_answer.reason)
+    .Add("last_node", aAttempts.m_lastNode)
+    .Add("handovers", aAttempts.m_question.m_handovers)
+    .Add("arrivals", aAttempts.m_question.m_arrivals)
+    .Add("elapsed_ms", Clock::Now() - aJob.m_startedAt)
+    .Add("left_ms", aJob.m_deadline - Clock::Now());
 }
 
 HttpResponse
--- a/modules/node/src/Metrics.cpp
+++ b/modules/node/src/Metrics.cpp
@@ -1,7 +1,7 @@
 #include "Metrics.h"
 
-#include <array>
 #include <algorithm>
+#include <array>
 #include <fmt/core.h>
 
 namespace sequoiastep::node {
--- a/modules/node/src/OwnKeys.cpp
+++ b/modules/node/src/OwnKeys.cpp
@@ -1,6 +1,7 @@
 #include "OwnKeys.h"
 
-#include <boost/asio/post.hpp>
+#include "LogCalls.h"
+
 #include <chrono>
 #include <fmt/core.h>
 
@@ -19,32 +20,6 @@
 constexpr Milliseconds kKeepFollowingMs = 60'000;
 constexpr Milliseconds kMarkEveryMs = 60'000;
 
-// A reply on its way from the log client's thread; the timer is cancelled when it is there.
-template<typename Reply>
-struct Pending
-{
-  explicit Pending(asio::io_context& aContext)
-    : m_timer(aContext, std::chrono::hours(1))
-  {
-  }
-
-  asio::steady_timer m_timer;
-  Reply m_reply;
-};
-
-// Carries a reply of the log client to the calls thread.
-template<typename Reply>
-auto
-Deliver(asio::io_context& aContext, std::shared_ptr<Pending<Reply>> aPending)
-{
-  return [&aContext, aPending](Reply aReply) {
-    asio::post(aContext, [aPending, reply = std::move(aReply)]() mutable {
-      aPending->m_reply = std::move(reply);
-      aPending->m_timer.cancel();
-    });
-  };
-}
-
 } // namespace
 
 OwnKeys::OwnKeys(asio::io_context& aContext, OwnKeysOptions aOptions)
@@ -87,22 +62,21 @@
 Awaitable<platform::ReadReply>
 OwnKeys::Read(std::uint32_t aStream)
 {
-  auto pending = std::make_shared<Pending<platform::ReadReply>>(m_context);
-  m_log->Read(StreamName(aStream),
-              m_tails[aStream].m_index.m_next,
-              m_tails[aStream].m_caughtUp ? kReadWaitMs : 0,
-              Deliver(m_context, pending));
-  co_await pending->m_timer.async_wait(net::kAsTuple);
-  co_return std::move(pending->m_reply);
+  const Tail& tail = m_tails[aStream];
+  const Milliseconds waitMs = tail.m_caughtUp ? kReadWaitMs : 0;
+  platform::ReadReply reply =
+    co_await AwaitLog<platform::ReadReply>(m_context, [&](const auto& aHandler) {
+      m_log->Read(StreamName(aStream), tail.m_index.m_next, waitMs, aHandler);
+    });
+  co_return reply;
 }
 
 Awaitable<platform::AppendStatus>
 OwnKeys::Append(std::uint32_t aStream, std::string aBody)
 {
-  auto pending = std::make_shared<Pending<platform::AppendReply>>(m_context);
-  m_log->Append(StreamName(aStream), aBody, Deliver(m_context, pending));
-  co_await pending->m_timer.async_wait(net::kAsTuple);
-  co_return pending->m_reply.m_status;
+  const platform::AppendReply reply = co_await AwaitLog<platform::AppendReply>(
+    m_context, [&](const auto& aHandler) { m_log->Append(StreamName(aStream), aBody, aHandler); });
+  co_return reply.m_status;
 }
 
 // Claims are kept for as long as the log keeps them for certain, and no longer if room is short.
--- a/modules/routing/bench/AdmissionBench.cpp
+++ b/modules/routing/bench/AdmissionBench.cpp
@@ -130,13 +130,12 @@
     [&](const Arrival& aArrival) {
       const Instant now = At(aArrival.m_atMs);
       apply(Review(gate, now), aArrival.m_atMs);
-      switch (
-        Offer(gate,
-              { .m_id = aArrival.m_id,
-                .m_caller = "one",
-                .m_deadline = now + static_cast<Milliseconds>(kDeadlineMs) },
-              now)
-          .m_admission) {
+      switch (Offer(gate,
+                    { .m_id = aArrival.m_id,
+                      .m_caller = "one",
+                      .m_deadline = now + static_cast<Milliseconds>(kDeadlineMs) },
+                    now)
+                .m_admission) {
         case Admission::Run:
           bench.m_target.Start(aArrival.m_id, aArrival.m_atMs, bench.m_random);
           break;
