--- a/modules/distribution/src/ControllerOperator.cpp
+++ b/modules/distribution/src/ControllerOperator.cpp
@@ -21,12 +21,6 @@
 constexpr std::size_t kActiveReaders = 2;
 constexpr Milliseconds kAloneMs = 1500;
 
-std::uint64_t
-HeldVersion(const Controller& aController)
-{
-  return aController.m_operatorTexts.empty() ? 0 : aController.m_operatorTexts.back().m_version;
-}
-
 const OperatorText*
 FindText(const Controller& aController, std::uint64_t aVersion)
 {
@@ -56,7 +50,7 @@
 void
 SendNewest(Turn& aTurn, std::string_view aNode, Link& aLink)
 {
-  const std::uint64_t version = HeldVersion(aTurn.m_controller);
+  const std::uint64_t version = HeldOperatorVersion(aTurn.m_controller);
   if (aLink.m_peerOperator >= version || aLink.m_operatorPushed >= version) {
     return;
   }
@@ -75,10 +69,16 @@
 
 } // namespace
 
+std::uint64_t
+HeldOperatorVersion(const Controller& aController)
+{
+  return aController.m_operatorTexts.empty() ? 0 : aController.m_operatorTexts.back().m_version;
+}
+
 bool
 ReadsOperatorRecord(const Controller& aController, Instant aNow)
 {
-  if (HeldVersion(aController) == 0 || !HasFreshLink(aController, aNow)) {
+  if (HeldOperatorVersion(aController) == 0 || !HasFreshLink(aController, aNow)) {
     return true;
   }
   const std::size_t rank = ReaderRank(aController);
@@ -98,7 +98,7 @@
 HandleOperatorHeld(Turn& aTurn, const OperatorHeld& aHeld)
 {
   Controller& controller = aTurn.m_controller;
-  if (aHeld.m_version <= HeldVersion(controller)) {
+  if (aHeld.m_version <= HeldOperatorVersion(controller)) {
     return;
   }
   controller.m_operatorTexts.push_back({ .m_version = aHeld.m_version, .m_text = aHeld.m_text });
@@ -123,7 +123,7 @@
   Controller& controller = aTurn.m_controller;
   Link& link = *FindLink(controller, aNode);
   link.m_peerOperator = std::max(link.m_peerOperator, aRecord.version);
-  if (aRecord.version <= HeldVersion(controller)) {
+  if (aRecord.version <= HeldOperatorVersion(controller)) {
     return;
   }
   const OperatorText* base =
@@ -153,7 +153,7 @@
 HandleOperatorPull(Turn& aTurn, std::string_view aNode, const wire::OperatorPullT& aPull)
 {
   Controller& controller = aTurn.m_controller;
-  if (aPull.held < HeldVersion(controller)) {
+  if (aPull.held < HeldOperatorVersion(controller)) {
     SendTo(aTurn, aNode, MakeOperatorMessage(controller, aPull.held));
   }
 }
@@ -162,7 +162,7 @@
 PullOperatorIfBehind(Turn& aTurn, std::string_view aNode, Link& aLink)
 {
   Controller& controller = aTurn.m_controller;
-  if (aLink.m_peerOperator <= HeldVersion(controller)) {
+  if (aLink.m_peerOperator <= HeldOperatorVersion(controller)) {
     aLink.m_operatorBehindSince.reset();
     return;
   }
@@ -176,14 +176,8 @@
   }
   aLink.m_operatorPulledAt = aTurn.m_now;
   wire::OperatorPullT pull;
-  pull.held = HeldVersion(controller);
+  pull.held = HeldOperatorVersion(controller);
   SendTo(aTurn, aNode, ShareMessage(std::move(pull)));
 }
 
-std::uint64_t
-HeldOperatorVersion(const Controller& aController)
-{
-  return HeldVersion(aController);
-}
-
 } // namespace sequoiastep::distribution
--- a/modules/node/src/CallsDuty.h
+++ b/modules/node/src/CallsDuty.h
@@ -11,6 +11,7 @@
 #include "Picker.h"
 #include "Random.h"
 #include "Retry.h"
+#include "RouteAverages.h"
 #include "Settings.h"
 #include "Shared.h"
 #include "TargetApi.h"
@@ -101,7 +102,6 @@
                   const config::Snapshot& aSnapshot,
                   const config::Route& aRoute);
   Milliseconds ShortWait(const CallJob& aJob) const;
-  void NoteAnswerSize(const std::string& aRoute, std::size_t aBytes);
   routing::RetryBudget& BudgetOf(const std::string& aService);
   bool MayOverlap(const net::HttpRequest& aRequest) const;
   void ApplyCallerLimits();
@@ -144,8 +144,7 @@
   routing::PickState m_picks;
   std::map<std::string, routing::RetryBudget, std::less<>> m_budgets;
   routing::WeightTurns m_weightTurns;
-  /// Moving average of a route's answers.
-  std::map<std::string, double, std::less<>> m_answerKilobytes;
+  routing::RouteAverages m_answerKilobytes{ .m_weight = 0.2 };
   /// Version whose limits for callers are applied.
   std::uint64_t m_limitsVersion = 0;
   std::set<InboundPtr> m_inbound;
--- a/modules/node/src/CallsDutyRoute.cpp
+++ b/modules/node/src/CallsDutyRoute.cpp
@@ -41,8 +41,6 @@
 constexpr double kMessageKilobytes = 1;
 // What is assumed of a route with large answers before the first one.
 constexpr double kLargeKilobytes = 64;
-constexpr double kSizeWeight = 0.2;
-constexpr std::size_t kMostRoutes = 4096;
 // Targets that are asked for a place with a short wait before a longer one is accepted.
 constexpr std::uint32_t kShortWaitTries = 3;
 constexpr std::uint32_t kAnyWait = 0xffffffffU;
@@ -188,10 +186,9 @@
   job.m_call.repeatable = aRoute.m_repeat == config::Repeat::Safe;
   job.m_call.priority = aRoute.m_priority;
   job.m_call.route = aRoute.m_name;
-  const auto size = m_answerKilobytes.find(aRoute.m_name);
   const double usual = aRoute.m_largeAnswers ? kLargeKilobytes : 0;
   job.m_kilobytes = kMessageKilobytes + static_cast<double>(aRequest.body().size()) / kKilobyte +
-                    (size == m_answerKilobytes.end() ? usual : size->second);
+                    routing::AverageOf(m_answerKilobytes, aRoute.m_name).value_or(usual);
   return job;
 }
 
@@ -399,17 +396,6 @@
   m_latencySumUs += static_cast<double>(aElapsedUs);
 }
 
-void
-CallsDuty::NoteAnswerSize(const std::string& aRoute, std::size_t aBytes)
-{
-  if (m_answerKilobytes.size() >= kMostRoutes) {
-    m_answerKilobytes.clear();
-  }
-  const double kilobytes = static_cast<double>(aBytes) / kKilobyte;
-  const auto [size, isNew] = m_answerKilobytes.try_emplace(aRoute, kilobytes);
-  size->second += isNew ? 0 : kSizeWeight * (kilobytes - size->second);
-}
-
 // How long a call may wait at a target while others may have room: what moving it would cost.
 Milliseconds
 CallsDuty::ShortWait(const CallJob& aJob) const
@@ -488,7 +474,8 @@
   NoteLatency(span.ElapsedUs());
   span.End(NameOf(attempts.m_answer.outcome), attempts.m_lastNode);
   if (attempts.m_answer.outcome == CallOutcome::Done) {
-    NoteAnswerSize(aJob.m_call.route, attempts.m_answer.body.size());
+    const auto bytes = static_cast<double>(attempts.m_answer.body.size());
+    routing::NoteValue(m_answerKilobytes, aJob.m_call.route, bytes / kKilobyte);
   } else {
     LogFailure(aJob, attempts);
   }
--- a/modules/node/src/TargetRunner.cpp
+++ b/modules/node/src/TargetRunner.cpp
@@ -30,8 +30,6 @@
 constexpr Milliseconds kConnectMs = 1000;
 constexpr Milliseconds kRetryAfterLeastMs = 100;
 constexpr Milliseconds kRetryAfterMostMs = 1500;
-constexpr double kServiceWeight = 0.1;
-constexpr std::size_t kMostRoutes = 4096;
 
 HttpRequest
 MakeTargetRequest(const CallT& aCall, const routing::TargetReport& aTarget, Milliseconds aLeftMs)
@@ -225,11 +223,11 @@
 TargetRunner::MakeGateRequest(const CallT& aCall, std::string aCaller)
 {
   const Instant now = Clock::Now();
-  const auto service = m_serviceUs.find(aCall.route);
   routing::GateRequest request{ .m_id = m_nextId++,
                                 .m_caller = std::move(aCaller),
                                 .m_priority = aCall.priority,
-                                .m_serviceUs = service == m_serviceUs.end() ? 0 : service->second,
+                                .m_serviceUs =
+                                  routing::AverageOf(m_serviceUs, aCall.route).value_or(0),
                                 .m_deadline = now + aCall.timeout_ms,
                                 .m_mostWaitMs = static_cast<Milliseconds>(aCall.most_wait_ms) };
   if (aCall.objective_ms != 0) {
@@ -238,17 +236,6 @@
   return request;
 }
 
-void
-TargetRunner::NoteService(const std::string& aRoute, std::int64_t aServiceUs)
-{
-  if (m_serviceUs.size() >= kMostRoutes) {
-    m_serviceUs.clear();
-  }
-  double& average = m_serviceUs[aRoute];
-  const auto service = static_cast<double>(aServiceUs);
-  average = average == 0 ? service : average + kServiceWeight * (service - average);
-}
-
 Awaitable<bool>
 TargetRunner::Admit(routing::GateRequest aRequest, Milliseconds& aWaitMs)
 {
@@ -352,7 +339,7 @@
     {
       const std::int64_t ran = m_tells ? Clock::NowMicroseconds() - m_startUs : 0;
       if (m_tells) {
-        m_runner.NoteService(m_route, ran);
+        routing::NoteValue(m_runner.m_serviceUs, m_route, static_cast<double>(ran));
       }
       m_runner.Apply(routing::Finish(m_runner.m_gate, Clock::Now(), ran));
     }
--- a/modules/node/src/TargetRunner.h
+++ b/modules/node/src/TargetRunner.h
@@ -5,6 +5,7 @@
 #include "AsioTypes.h"
 #include "HttpClient.h"
 #include "Messages_generated.h"
+#include "RouteAverages.h"
 #include "Shared.h"
 #include "SlotGate.h"
 #include "TargetRecord.h"
@@ -61,7 +62,6 @@
 
   net::Awaitable<bool> Admit(routing::GateRequest aRequest, Milliseconds& aWaitMs);
   routing::GateRequest MakeGateRequest(const wire::CallT& aCall, std::string aCaller);
-  void NoteService(const std::string& aRoute, std::int64_t aServiceUs);
   net::Awaitable<wire::AnswerT> Dispatch(const wire::CallT& aCall,
                                          Instant aDeadline,
                                          std::shared_ptr<TargetRun> aRun);
@@ -80,8 +80,8 @@
   Instant m_unreachableUntil;
   std::shared_ptr<net::HttpClient> m_client;
   std::map<std::uint64_t, Waiting*> m_waiting;
-  /// Moving average of how long requests of a route run, in microseconds.
-  std::map<std::string, double, std::less<>> m_serviceUs;
+  /// How long requests of a route run, in microseconds.
+  routing::RouteAverages m_serviceUs;
   std::uint64_t m_nextId = 1;
   bool m_present = false;
   bool m_stopping = false;
--- a/modules/routing/include/SlotGate.h
+++ b/modules/routing/include/SlotGate.h
@@ -88,10 +88,6 @@
 GateAnswer
 Offer(SlotGate& aGate, const GateRequest& aRequest, Instant aNow);
 
-/// @return how long a request of the lowest rank would wait now.
-Milliseconds
-ExpectedWait(const SlotGate& aGate);
-
 /// Notes that a running request ended.
 /// @param aServiceUs how long it ran; 0 if that tells nothing.
 /// @return the requests that run now and those whose time is over.
@@ -107,10 +103,6 @@
 GateDecision
 Review(SlotGate& aGate, Instant aNow);
 
-/// Turns away all waiting requests, as when the target leaves.
-GateDecision
-ShedAll(SlotGate& aGate);
-
 /// Sets new sizes; a larger one takes effect with the next Review.
 void
 Resize(SlotGate& aGate, const SlotGateOptions& aOptions);
--- a/modules/routing/src/SlotGate.cpp
+++ b/modules/routing/src/SlotGate.cpp
@@ -129,16 +129,6 @@
 
 } // namespace
 
-Milliseconds
-ExpectedWait(const SlotGate& aGate)
-{
-  double ahead = 0;
-  for (const GateRequest& waiting : aGate.m_waiting) {
-    ahead += ServiceMs(aGate, waiting);
-  }
-  return static_cast<Milliseconds>(WaitBehind(aGate, ahead));
-}
-
 GateAnswer
 Offer(SlotGate& aGate, const GateRequest& aRequest, Instant aNow)
 {
@@ -174,18 +164,6 @@
   return decision;
 }
 
-GateDecision
-ShedAll(SlotGate& aGate)
-{
-  GateDecision decision;
-  for (const GateRequest& waiting : aGate.m_waiting) {
-    decision.m_shed.push_back(waiting.m_id);
-  }
-  aGate.m_waiting.clear();
-  aGate.m_servedAt.clear();
-  return decision;
-}
-
 GateDecision
 Finish(SlotGate& aGate, Instant aNow, std::int64_t aServiceUs)
 {
--- a/modules/routing/tests/RoutingTest.cpp
+++ b/modules/routing/tests/RoutingTest.cpp
@@ -1,5 +1,6 @@
 #include "Picker.h"
 #include "Retry.h"
+#include "RouteAverages.h"
 #include "SlotGate.h"
 #include "TransitClock.h"
 #include "Weights.h"
@@ -468,6 +469,19 @@
   CHECK(NextCluster(turns, changed, random) == 0);
 }
 
+TEST_CASE("a route's average follows its values, and routes are bounded")
+{
+  RouteAverages averages{ .m_weight = 0.5, .m_most = 2 };
+  CHECK_FALSE(AverageOf(averages, "a"));
+  NoteValue(averages, "a", 10);
+  NoteValue(averages, "a", 20);
+  CHECK(*AverageOf(averages, "a") == doctest::Approx(15));
+  NoteValue(averages, "b", 1);
+  NoteValue(averages, "c", 2);
+  CHECK(averages.m_averages.size() == 1);
+  CHECK(*AverageOf(averages, "c") == doctest::Approx(2));
+}
+
 TEST_CASE("a message's time in buffers shows although the clocks are not set alike")
 {
   TransitClock clock;
