--- a/modules/base/src/Log.cpp
+++ b/modules/base/src/Log.cpp
@@ -1,6 +1,7 @@
 #include "Log.h"
 
 #include "Clock.h"
+#include "LogRates.h"
 #include "NameTable.h"
 #include "Ring.h"
 
@@ -33,6 +34,9 @@
 
 std::atomic<LogLevel> gLevel{ LogLevel::Info };
 std::unique_ptr<LogQueue> gQueue;
+std::string gNode;
+std::atomic<std::uint64_t> gSuppressed{ 0 };
+thread_local LogRates tRates;
 
 void
 WriteLines(LogQueue& aQueue)
@@ -94,6 +98,19 @@
   gLevel.store(aLevel);
 }
 
+void
+SetLogNode(std::string aNode)
+{
+  gNode = std::move(aNode);
+}
+
+LogCounts
+CountsOfLog()
+{
+  return { .m_suppressed = gSuppressed.load(),
+           .m_dropped = gQueue ? gQueue->m_lines.Refused() : 0 };
+}
+
 LogThread::LogThread(LogLevel aLevel)
 {
   SetLogLevel(aLevel);
@@ -116,9 +133,35 @@
 LogLine::LogLine(LogLevel aLevel, std::string_view aEvent)
   : m_enabled(aLevel >= gLevel.load(std::memory_order_relaxed))
 {
-  if (m_enabled) {
-    m_text = fmt::format(
-      "time_ms={} level={} event={}", Clock::UnixMilliseconds(), NameOf(aLevel), aEvent);
+  Begin(aLevel, aEvent);
+}
+
+LogLine::LogLine(LogLevel aLevel, std::string_view aEvent, std::string_view aCause)
+  : m_enabled(aLevel >= gLevel.load(std::memory_order_relaxed))
+{
+  if (!m_enabled) {
+    return;
+  }
+  const LogAdmission admission = AdmitLine(tRates, aEvent, aCause, Clock::Now());
+  m_enabled = admission.m_write;
+  Begin(aLevel, aEvent);
+  if (!admission.m_write) {
+    gSuppressed.fetch_add(1, std::memory_order_relaxed);
+  } else if (admission.m_suppressed > 0) {
+    Add("suppressed_before", admission.m_suppressed);
+  }
+}
+
+void
+LogLine::Begin(LogLevel aLevel, std::string_view aEvent)
+{
+  if (!m_enabled) {
+    return;
+  }
+  m_text =
+    fmt::format("time_ms={} level={} event={}", Clock::UnixMilliseconds(), NameOf(aLevel), aEvent);
+  if (!gNode.empty()) {
+    Add("node", gNode);
   }
 }
 
--- a/modules/cli/src/Commands.cpp
+++ b/modules/cli/src/Commands.cpp
@@ -49,6 +49,11 @@
           kJsonOption } },
       RunPublishCommand },
     { { "status", "Show how far the mesh is", { kNodeOption, kJsonOption } }, RunStatusCommand },
+    { { "explain",
+        "Join the logs of all nodes into the story of one request",
+        { { "id", "ID", "Id of the request (required)" }, kJsonOption },
+        "FILE..." },
+      RunExplainCommand },
     { { "check",
         "Check documents offline, as the mesh would",
         { kBaseOption, kOverlayOption, kJsonOption } },
@@ -177,6 +182,7 @@
       fmt::print("{}\n", node::SettingsText(settings));
       return ExitCode::Done;
     }
+    SetLogNode(settings.m_node);
     const LogThread logThread(settings.m_logLevel);
     BOOST_LEAF_CHECK(node::RunNode(settings, *path));
     return ExitCode::Done;
--- a/modules/cli/src/Options.cpp
+++ b/modules/cli/src/Options.cpp
@@ -55,6 +55,9 @@
 PrintHelp(const CommandSpec& aSpec)
 {
   fmt::print("sequoiastep {}: {}\n\n", aSpec.m_name, aSpec.m_summary);
+  if (!aSpec.m_rest.empty()) {
+    fmt::print("  {:<28}{}\n", aSpec.m_rest, "One at least");
+  }
   for (const OptionSpec& option : aSpec.m_options) {
     const std::string left = option.m_value.empty()
                                ? fmt::format("--{}", option.m_name)
@@ -66,8 +69,9 @@
 
 } // namespace
 
-GivenOptions::GivenOptions(std::vector<GivenOption> aOptions)
+GivenOptions::GivenOptions(std::vector<GivenOption> aOptions, std::vector<std::string> aRest)
   : m_options(std::move(aOptions))
+  , m_rest(std::move(aRest))
 {
 }
 
@@ -96,6 +100,12 @@
   return Value(aName).has_value();
 }
 
+const std::vector<std::string>&
+GivenOptions::Rest() const
+{
+  return m_rest;
+}
+
 ParsedOptions
 ParseOptions(const CommandSpec& aSpec, int aCount, const char** aArguments)
 {
@@ -119,11 +129,17 @@
       "{}: {}", poptBadOption(context.get(), POPT_BADOPTION_NOALIAS), poptStrerror(found));
     return { .m_given = std::nullopt, .m_helpShown = false, .m_problem = problem };
   }
-  if (const char* extra = poptGetArg(context.get())) {
-    const std::string problem = fmt::format("'{}' is not expected here", extra);
-    return { .m_given = std::nullopt, .m_helpShown = false, .m_problem = problem };
+  std::vector<std::string> rest;
+  while (const char* extra = poptGetArg(context.get())) {
+    if (aSpec.m_rest.empty()) {
+      const std::string problem = fmt::format("'{}' is not expected here", extra);
+      return { .m_given = std::nullopt, .m_helpShown = false, .m_problem = problem };
+    }
+    rest.emplace_back(extra);
   }
-  return { .m_given = GivenOptions(std::move(given)), .m_helpShown = false, .m_problem = {} };
+  return { .m_given = GivenOptions(std::move(given), std::move(rest)),
+           .m_helpShown = false,
+           .m_problem = {} };
 }
 
 } // namespace sequoiastep::cli
--- a/modules/cli/src/Options.h
+++ b/modules/cli/src/Options.h
@@ -25,6 +25,8 @@
   std::string_view m_name;
   std::string_view m_summary;
   std::vector<OptionSpec> m_options;
+  /// What further arguments stand for in the help; none are taken if empty.
+  std::string_view m_rest = {};
 };
 
 /// One option that was given.
@@ -38,16 +40,20 @@
 class GivenOptions
 {
 public:
-  explicit GivenOptions(std::vector<GivenOption> aOptions);
+  /// @param aRest arguments that belong to no option.
+  GivenOptions(std::vector<GivenOption> aOptions, std::vector<std::string> aRest);
   /// @return the last value given for aName, or nothing.
   std::optional<std::string> Value(std::string_view aName) const;
   /// @return all values given for aName.
   std::vector<std::string> Values(std::string_view aName) const;
   /// @return true if aName was given.
   bool Has(std::string_view aName) const;
+  /// @return arguments that belong to no option, in order.
+  const std::vector<std::string>& Rest() const;
 
 private:
   std::vector<GivenOption> m_options;
+  std::vector<std::string> m_rest;
 };
 
 /// What parsing came to.
--- a/modules/distribution/src/ControllerMembers.cpp
+++ b/modules/distribution/src/ControllerMembers.cpp
@@ -57,6 +57,19 @@
   }
 }
 
+void
+LogMember(const Member& aMember, std::string_view aFrom)
+{
+  const std::string_view state = membership::NameOf(aMember.m_state);
+  LogLine(LogLevel::Info, "member_changed", state)
+    .Add("member", aMember.m_node)
+    .Add("state", state)
+    .Add("counter", aMember.m_counter)
+    .Add("service", aMember.m_service)
+    .Add("slots", aMember.m_slots)
+    .Add("from", aFrom);
+}
+
 } // namespace
 
 void
@@ -84,10 +97,7 @@
     switch (membership::MergeMember(controller.m_table, entry, aTurn.m_now)) {
       case MergeResult::Changed:
         NoteChange(aTurn, entry);
-        LogLine(LogLevel::Debug, "member_changed")
-          .Add("node", entry.m_node)
-          .Add("state", membership::NameOf(entry.m_state))
-          .Add("counter", entry.m_counter);
+        LogMember(entry, aNode);
         break;
       case MergeResult::Refuted:
         ++controller.m_counters.m_refutations;
@@ -172,7 +182,9 @@
   }
   ++controller.m_counters.m_accusations;
   const Member& accused = *FindMember(controller, aNode);
-  LogLine(LogLevel::Info, "member_suspected").Add("node", aNode);
+  LogLine(LogLevel::Info, "member_suspected", aNode)
+    .Add("member", aNode)
+    .Add("counter", accused.m_counter);
   NoteChange(aTurn, accused);
   wire::AccusationT accusation;
   accusation.node = accused.m_node;
@@ -204,7 +216,7 @@
   controller.m_nextJudgement = aTurn.m_now + kJudgeEveryMs;
   for (const Member& gone :
        membership::DeclareGone(controller.m_detector, controller.m_table, aTurn.m_now)) {
-    LogLine(LogLevel::Warning, "member_gone").Add("node", gone.m_node);
+    LogLine(LogLevel::Warning, "member_gone", gone.m_node).Add("member", gone.m_node);
     NoteChange(aTurn, gone);
   }
   if (membership::ForgetGone(controller.m_table, aTurn.m_now, controller.m_options.m_keepGoneMs)) {
--- a/modules/node/include/Settings.h
+++ b/modules/node/include/Settings.h
@@ -87,6 +87,8 @@
   std::string m_adminListen;
   /// Bearer token for admin requests that change state; none is asked for if empty.
   std::string m_adminToken;
+  /// Where metrics are served for all to read, besides the admin address; nowhere if empty.
+  std::string m_metricsListen;
   std::string m_peerListen;
   std::vector<std::string> m_peerHints;
   std::string m_platformLog;
--- a/modules/node/src/AdminApi.cpp
+++ b/modules/node/src/AdminApi.cpp
@@ -23,6 +23,7 @@
 namespace {
 
 constexpr std::string_view kJson = "application/json";
+constexpr std::string_view kMetricsPath = "/metrics";
 constexpr std::int64_t kMostPublishWaitMs = 60'000;
 
 HttpResponse
@@ -225,11 +226,23 @@
 AdminApi::GetMetrics() const
 {
   std::string text = ControlMetricsText(m_duty.State(), m_duty.Bytes(), m_duty.LogCounts());
+  text += m_duty.LogMetricsText();
   const std::string calls = co_await m_hooks.m_callMetrics();
   text += calls;
   co_return net::MakeResponse(http::status::ok, "text/plain; version=0.0.4", std::move(text));
 }
 
+Awaitable<HttpResponse>
+AdminApi::HandleMetrics(HttpRequest aRequest)
+{
+  if (aRequest.method() != http::verb::get || net::PathOf(aRequest.target()) != kMetricsPath) {
+    co_return MakeProblem(
+      http::status::not_found, CallOutcome::NotRun, "only GET /metrics is served here");
+  }
+  HttpResponse response = co_await GetMetrics();
+  co_return response;
+}
+
 Awaitable<HttpResponse>
 AdminApi::Handle(HttpRequest aRequest)
 {
--- a/modules/node/src/AdminApi.h
+++ b/modules/node/src/AdminApi.h
@@ -38,6 +38,8 @@
 
   /// Answers one request.
   net::Awaitable<net::HttpResponse> Handle(net::HttpRequest aRequest);
+  /// Answers a request to the address for metrics.
+  net::Awaitable<net::HttpResponse> HandleMetrics(net::HttpRequest aRequest);
   /// Takes the controller's answer to a publish request.
   void AnswerPublish(const distribution::AnswerPublish& aAnswer);
 
--- a/modules/node/src/CallLinks.cpp
+++ b/modules/node/src/CallLinks.cpp
@@ -64,12 +64,20 @@
           Receive(link, std::move(aMessage));
         }
       },
-      [this, aNode, weak = std::weak_ptr<Link>(aLink)](const std::string&) {
+      [this, aNode, weak = std::weak_ptr<Link>(aLink)](const std::string& aReason) {
         if (const LinkPtr link = weak.lock()) {
+          LogLine(LogLevel::Info, "call_link_lost", aReason)
+            .Add("peer", aNode)
+            .Add("reason", aReason)
+            .Add("waiting_calls", link->m_pending.size());
           Break(link, aNode);
         }
       });
   } else {
+    LogLine(LogLevel::Info, "call_link_failed", aNode)
+      .Add("peer", aNode)
+      .Add("address", aAddress)
+      .Add("answered_as", hello.node);
     const auto found = m_links.find(aNode);
     if (found != m_links.end() && found->second == aLink) {
       m_links.erase(found);
--- /dev/null
+++ b/modules/node/src/CallLog.cpp
@@ -0,0 +1,123 @@
+#include "CallLog.h"
+
+#include "Log.h"
+#include "Problem.h"
+
+#include <cmath>
+
+namespace sequoiastep::node {
+
+using wire::AnswerT;
+
+namespace {
+
+constexpr std::uint32_t kFirstServerError = 500;
+
+bool
+IsServerError(const AnswerT& aAnswer)
+{
+  return aAnswer.outcome == CallOutcome::Done && aAnswer.status >= kFirstServerError;
+}
+
+std::string_view
+ReasonOf(const AnswerT& aAnswer)
+{
+  return IsServerError(aAnswer) ? "the target answered with an error of its own" : aAnswer.reason;
+}
+
+// Adds what every line of a call tells.
+void
+AddCall(LogLine& aLine, const CallJob& aJob, const CallAttempts& aAttempts)
+{
+  const Instant now = Clock::Now();
+  aLine.Add("id", aJob.m_call.request_id)
+    .Add("route", aJob.m_call.route)
+    .Add("service", aJob.m_call.service)
+    .Add("version", aJob.m_call.version)
+    .Add("last_node", aAttempts.m_lastNode)
+    .Add("handovers", aAttempts.m_question.m_handovers)
+    .Add("arrivals", aAttempts.m_question.m_arrivals)
+    .Add("elapsed_ms", now - aJob.m_startedAt)
+    .Add("left_ms", aJob.m_deadline - now);
+}
+
+void
+AddAnswer(LogLine& aLine, const AnswerT& aAnswer)
+{
+  aLine.Add("outcome", NameOf(aAnswer.outcome))
+    .Add("status", aAnswer.status)
+    .Add("reason", ReasonOf(aAnswer));
+}
+
+} // namespace
+
+void
+LogRejected(std::string_view aRequestId, std::string_view aReason, std::uint64_t aVersion)
+{
+  LogLine(LogLevel::Info, "request_rejected", aReason)
+    .Add("id", aRequestId)
+    .Add("reason", aReason)
+    .Add("version", aVersion);
+}
+
+void
+LogAttempt(const CallJob& aJob,
+           const CallAttempts& aAttempts,
+           const AnswerT& aAnswer,
+           double aBudgetLeft)
+{
+  if (aAttempts.m_question.m_outcome == routing::AttemptOutcome::Done) {
+    return;
+  }
+  LogLine line(LogLevel::Info, "attempt_failed", ReasonOf(aAnswer));
+  AddCall(line, aJob, aAttempts);
+  AddAnswer(line, aAnswer);
+  line.Add("judged", routing::NameOf(aAttempts.m_question.m_outcome))
+    .Add("next", routing::NameOf(aAttempts.m_verdict))
+    .Add("any_wait", aAttempts.m_lastRound ? "yes" : "no")
+    .Add("their_load", aAnswer.outstanding)
+    .Add("their_run_us", aAnswer.service_us)
+    .Add("budget_left", std::llround(aBudgetLeft));
+}
+
+void
+LogEnd(const CallJob& aJob, const CallAttempts& aAttempts)
+{
+  const AnswerT& answer = aAttempts.m_answer;
+  const bool failed = answer.outcome != CallOutcome::Done || IsServerError(answer);
+  const bool late = Clock::Now() > aJob.m_objective;
+  if (!failed && !late && aAttempts.m_question.m_handovers <= 1) {
+    return;
+  }
+  const std::string_view event = failed ? "request_failed"
+                                 : late ? "request_late"
+                                        : "request_repeated";
+  LogLine line(LogLevel::Info, event, ReasonOf(answer));
+  AddCall(line, aJob, aAttempts);
+  AddAnswer(line, answer);
+  line.Add("stopped_by", routing::NameOf(aAttempts.m_verdict))
+    .Add("objective_ms", aJob.m_objective - aJob.m_startedAt)
+    .Add("their_held_us", answer.held_us);
+}
+
+CallerWatch::CallerWatch(const CallJob& aJob, const CallAttempts& aAttempts)
+  : m_job(aJob)
+  , m_attempts(aAttempts)
+{
+}
+
+CallerWatch::~CallerWatch()
+{
+  if (!m_ended) {
+    LogLine line(LogLevel::Info, "caller_left", {});
+    AddCall(line, m_job, m_attempts);
+  }
+}
+
+void
+CallerWatch::End()
+{
+  m_ended = true;
+}
+
+} // namespace sequoiastep::node
--- a/modules/node/src/CallsDuty.cpp
+++ b/modules/node/src/CallsDuty.cpp
@@ -1,6 +1,7 @@
 #include "CallsDuty.h"
 
 #include "Address.h"
+#include "CallLog.h"
 #include "CallsDutyPriv.h"
 #include "HttpClient.h"
 #include "Log.h"
@@ -14,7 +15,6 @@
 
 namespace sequoiastep::node {
 
-namespace accumulators = boost::accumulators;
 namespace asio = net::asio;
 namespace http = net::http;
 using net::Awaitable;
@@ -50,7 +50,7 @@
   , m_shared(aShared)
   , m_notify(std::move(aNotify))
   , m_random{ EntropySeed() }
-  , m_runner(aContext, aShared)
+  , m_runner(aContext, aShared, m_metrics)
   , m_targetApi([this](const std::optional<routing::TargetReport>& aTarget) {
     distribution::TargetChanged change;
     if (aTarget) {
@@ -89,7 +89,6 @@
       { .m_maxBodyBytes = 64U << 10, .m_maxConnections = 16 },
       [this](HttpRequest aRequest) { return m_targetApi.Handle(std::move(aRequest)); },
       MakeBadRequest)
-  , m_latency(accumulators::extended_p_square_probabilities = kLatencyQuantiles)
 {
   m_callerServer.SetOverlap([this](const HttpRequest& aRequest) { return MayOverlap(aRequest); });
 }
@@ -108,11 +107,9 @@
   BOOST_LEAF_AUTO(callerEndpoint, m_callerServer.Listen(callerAddress));
   BOOST_LEAF_AUTO(targetEndpoint, m_targetServer.Listen(targetAddress));
   LogLine(LogLevel::Info, "listening")
-    .Add("node", m_settings.m_node)
     .Add("role", "caller")
     .Add("address", net::AddressText(callerEndpoint));
   LogLine(LogLevel::Info, "listening")
-    .Add("node", m_settings.m_node)
     .Add("role", "target")
     .Add("address", net::AddressText(targetEndpoint));
   asio::co_spawn(m_context, TickLoop(), asio::detached);
@@ -218,11 +215,12 @@
 {
   m_shared.m_calls.m_entered.fetch_add(1, std::memory_order_relaxed);
   if (m_active >= m_settings.m_limits.m_maxCalls) {
+    constexpr std::string_view kTooMany =
+      "this node has too many calls in progress; try another node";
     m_shared.m_calls.m_shed.fetch_add(1, std::memory_order_relaxed);
     CountOutcome(CallOutcome::NotRun);
-    co_return MakeProblem(http::status::service_unavailable,
-                          CallOutcome::NotRun,
-                          "this node has too many calls in progress; try another node");
+    LogRejected(aRequest[adapter::kRequestId], kTooMany, 0);
+    co_return MakeProblem(http::status::service_unavailable, CallOutcome::NotRun, kTooMany);
   }
   const InProgress progress(m_active);
   HttpResponse response = co_await Enter(std::move(aRequest));
--- a/modules/node/src/CallsDuty.h
+++ b/modules/node/src/CallsDuty.h
@@ -4,6 +4,7 @@
 
 #include "AsioTypes.h"
 #include "CallLinks.h"
+#include "CallMetrics.h"
 #include "Events.h"
 #include "HttpServer.h"
 #include "KeyedCalls.h"
@@ -19,10 +20,6 @@
 #include "Trace.h"
 #include "Weights.h"
 
-#include <array>
-#include <boost/accumulators/accumulators.hpp>
-#include <boost/accumulators/statistics/extended_p_square_quantile.hpp>
-#include <boost/accumulators/statistics/stats.hpp>
 #include <functional>
 #include <map>
 #include <memory>
@@ -35,11 +32,6 @@
 
 /// Header that bears a request's idempotency key.
 constexpr std::string_view kKeyField = "Idempotency-Key";
-/// Quantiles of the latency that are measured.
-constexpr std::array<double, 4> kLatencyQuantiles{ 0.5, 0.9, 0.99, 0.999 };
-
-/// One call on its way through this node.
-struct CallJob;
 
 /// Everything here runs on the calls thread, but for the constructor.
 class CallsDuty
@@ -75,11 +67,7 @@
 
 private:
   struct Inbound;
-  struct Attempts;
   using InboundPtr = std::shared_ptr<Inbound>;
-  using Latency = boost::accumulators::accumulator_set<
-    double,
-    boost::accumulators::stats<boost::accumulators::tag::extended_p_square_quantile>>;
 
   net::Awaitable<net::HttpResponse> HandleCaller(net::HttpRequest aRequest);
   net::Awaitable<net::HttpResponse> Enter(net::HttpRequest aRequest);
@@ -110,11 +98,12 @@
   net::Awaitable<routing::AttemptOutcome> TryTarget(const CallJob& aJob,
                                                     const routing::Candidate& aTarget,
                                                     wire::AnswerT& aAnswer);
-  std::optional<routing::Candidate> NextTarget(CallJob& aJob, Attempts& aAttempts);
-  void TakeAttempt(const CallJob& aJob, Attempts& aAttempts, wire::AnswerT aNext);
-  static void LogFailure(const CallJob& aJob, const Attempts& aAttempts);
+  std::optional<routing::Candidate> NextTarget(CallJob& aJob, CallAttempts& aAttempts);
+  void TakeAttempt(const CallJob& aJob, CallAttempts& aAttempts, const wire::AnswerT& aNext);
+  void NoteEnd(const CallJob& aJob, const CallAttempts& aAttempts, std::int64_t aElapsedUs);
+  void LogTrusted(const std::string& aNode) const;
+  void LogAvoided(const std::string& aNode, const std::string& aReason) const;
   net::Awaitable<net::HttpResponse> RunJob(CallJob aJob);
-  void NoteLatency(std::int64_t aElapsedUs);
   net::Awaitable<void> Serve(InboundPtr aInbound,
                              wire::CallT aCall,
                              std::shared_ptr<TargetRun> aRun);
@@ -134,6 +123,7 @@
   Shared& m_shared;
   Notify m_notify;
   Random m_random;
+  CallMetrics m_metrics;
   TargetRunner m_runner;
   TargetApi m_targetApi;
   CallLinks m_links;
@@ -148,9 +138,6 @@
   /// Version whose limits for callers are applied.
   std::uint64_t m_limitsVersion = 0;
   std::set<InboundPtr> m_inbound;
-  Latency m_latency;
-  std::uint64_t m_latencyCount = 0;
-  double m_latencySumUs = 0;
   std::uint32_t m_active = 0;
   std::uint32_t m_serving = 0;
   bool m_stopped = false;
--- a/modules/node/src/CallsDutyMetrics.cpp
+++ b/modules/node/src/CallsDutyMetrics.cpp
@@ -1,12 +1,11 @@
 // What the calls thread measures, as Prometheus text.
 #include "CallsDuty.h"
+#include "Log.h"
 
 #include <fmt/core.h>
 
 namespace sequoiastep::node {
 
-namespace accumulators = boost::accumulators;
-
 std::string
 CallsDuty::MetricsText() const
 {
@@ -32,16 +31,10 @@
   text += fmt::format("sequoiastep_target_outstanding {}\n", m_runner.Outstanding());
   text += fmt::format("sequoiastep_remembered_keys {}\n", m_keyed.Claims());
   text += fmt::format("sequoiastep_call_links {}\n", m_links.Open());
-  for (const double quantile : kLatencyQuantiles) {
-    const double value =
-      m_latencyCount < kLatencyQuantiles.size()
-        ? 0
-        : accumulators::quantile(m_latency, accumulators::quantile_probability = quantile);
-    text +=
-      fmt::format("sequoiastep_call_seconds{{quantile=\"{}\"}} {:.6f}\n", quantile, value / 1e6);
-  }
-  text += fmt::format("sequoiastep_call_seconds_sum {:.6f}\n", m_latencySumUs / 1e6);
-  text += fmt::format("sequoiastep_call_seconds_count {}\n", m_latencyCount);
+  const LogCounts lines = CountsOfLog();
+  text += fmt::format("sequoiastep_log_lines_suppressed_total {}\n", lines.m_suppressed);
+  text += fmt::format("sequoiastep_log_lines_dropped_total {}\n", lines.m_dropped);
+  m_metrics.AppendText(text);
   return text;
 }
 
--- a/modules/node/src/CallsDutyRoute.cpp
+++ b/modules/node/src/CallsDutyRoute.cpp
@@ -1,5 +1,6 @@
 // Calls that enter at this node: their route, the targets they are handed to, and what callers get.
 #include "Address.h"
+#include "CallLog.h"
 #include "CallsDuty.h"
 #include "CallsDutyPriv.h"
 #include "Headers.h"
@@ -104,34 +105,6 @@
 
 } // namespace
 
-struct CallJob
-{
-  CallT m_call;
-  bool m_crossRegion = true;
-  config::Repeat m_repeat = config::Repeat::Never;
-  std::uint32_t m_maxAttempts = 1;
-  Instant m_startedAt;
-  Instant m_deadline;
-  Instant m_objective;
-  /// Bytes that probably travel, request and answer.
-  double m_kilobytes = 1;
-};
-
-// What came of a call's attempts so far.
-struct CallsDuty::Attempts
-{
-  /// Nodes that are not tried again for this call.
-  std::set<std::string, std::less<>> m_failed;
-  std::set<std::string, std::less<>> m_hadNoRoom;
-  std::string m_lastNode;
-  /// The current attempt accepts any wait.
-  bool m_lastRound = false;
-  RetryVerdict m_verdict = RetryVerdict::TryFree;
-  routing::RetryQuestion m_question;
-  /// What the caller gets if nothing better comes.
-  AnswerT m_answer;
-};
-
 bool
 CallsDuty::MayOverlap(const HttpRequest& aRequest) const
 {
@@ -167,6 +140,7 @@
   CallJob job;
   job.m_crossRegion = cluster.m_crossRegion;
   job.m_repeat = aRoute.m_repeat;
+  job.m_largeAnswers = aRoute.m_largeAnswers;
   job.m_maxAttempts = aRoute.m_maxAttempts;
   job.m_startedAt = Clock::Now();
   job.m_deadline = job.m_startedAt + TimeLeft(aRequest, aRoute);
@@ -199,10 +173,11 @@
   // One snapshot from here to the end of the call.
   std::shared_ptr<const config::Snapshot> snapshot = m_shared.m_snapshot.load();
   if (!m_shared.m_ready.load() || !snapshot) {
+    constexpr std::string_view kNotReady = "this node is not ready yet; try another node or later";
     CountOutcome(CallOutcome::NotRun);
-    HttpResponse response = MakeProblem(http::status::service_unavailable,
-                                        CallOutcome::NotRun,
-                                        "this node is not ready yet; try another node or later");
+    LogRejected(aRequest[adapter::kRequestId], kNotReady, snapshot ? snapshot->m_version : 0);
+    HttpResponse response =
+      MakeProblem(http::status::service_unavailable, CallOutcome::NotRun, kNotReady);
     response.set(http::field::retry_after, "0.3");
     co_return response;
   }
@@ -213,6 +188,7 @@
   const config::Route* route = config::FindRoute(*snapshot->m_effective, QueryOf(aRequest));
   if (route == nullptr) {
     CountOutcome(CallOutcome::NotRun);
+    LogRejected(aRequest[adapter::kRequestId], "no route", snapshot->m_version);
     co_return MakeProblem(
       http::status::not_found,
       CallOutcome::NotRun,
@@ -239,8 +215,7 @@
     std::optional<AnswerT> m_answer;
   };
   auto waiting = std::make_shared<Waiting>(m_context);
-  auto run = std::make_shared<TargetRun>();
-  run->m_repeatable = aCall.repeatable;
+  const auto run = MakeTargetRun(aCall);
   struct Leave
   {
     std::shared_ptr<Waiting> m_waiting;
@@ -329,6 +304,7 @@
   switch (outcome) {
     case AttemptOutcome::Done:
     case AttemptOutcome::Failed:
+      LogTrusted(aNode);
       routing::NoteAnswer(m_picks, aNode, aElapsedUs, aAnswer.held_us, report, now);
       break;
     case AttemptOutcome::Overloaded:
@@ -338,11 +314,34 @@
     case AttemptOutcome::TurnedAway:
     case AttemptOutcome::Unknown:
       routing::NoteFailure(m_picks, aNode, now, m_random);
+      LogAvoided(aNode, aAnswer.reason);
       break;
   }
   return outcome;
 }
 
+void
+CallsDuty::LogTrusted(const std::string& aNode) const
+{
+  const routing::TargetStats* stats = routing::FindStats(m_picks, aNode);
+  if (stats != nullptr && stats->m_failures > 0) {
+    LogLine(LogLevel::Info, "target_trusted", aNode)
+      .Add("at", aNode)
+      .Add("failures_before", stats->m_failures);
+  }
+}
+
+void
+CallsDuty::LogAvoided(const std::string& aNode, const std::string& aReason) const
+{
+  const routing::TargetStats* stats = routing::FindStats(m_picks, aNode);
+  LogLine(LogLevel::Info, "target_avoided", aNode)
+    .Add("at", aNode)
+    .Add("failures", stats->m_failures)
+    .Add("for_ms", stats->m_avoidUntil - Clock::Now())
+    .Add("reason", aReason);
+}
+
 std::optional<routing::Candidate>
 CallsDuty::PickTarget(const CallJob& aJob, const std::set<std::string, std::less<>>& aTried)
 {
@@ -388,14 +387,6 @@
   co_return Judge(aAnswer, aTarget.m_node, Clock::NowMicroseconds() - startUs);
 }
 
-void
-CallsDuty::NoteLatency(std::int64_t aElapsedUs)
-{
-  m_latency(static_cast<double>(aElapsedUs));
-  ++m_latencyCount;
-  m_latencySumUs += static_cast<double>(aElapsedUs);
-}
-
 // How long a call may wait at a target while others may have room: what moving it would cost.
 Milliseconds
 CallsDuty::ShortWait(const CallJob& aJob) const
@@ -407,10 +398,11 @@
 // The next target for a call, or nothing if none is left. Tells the call how long it may wait
 // there.
 std::optional<routing::Candidate>
-CallsDuty::NextTarget(CallJob& aJob, Attempts& aAttempts)
+CallsDuty::NextTarget(CallJob& aJob, CallAttempts& aAttempts)
 {
   auto target = PickTarget(aJob, aAttempts.m_failed);
   if (!target) {
+    aAttempts.m_verdict = RetryVerdict::StopNoTarget;
     return std::nullopt;
   }
   // A target that had no room and is still the best one is worth its wait.
@@ -422,13 +414,15 @@
     m_shared.m_calls.m_retries.fetch_add(1, std::memory_order_relaxed);
   }
   aAttempts.m_lastNode = target->m_node;
+  aAttempts.m_lastPlace =
+    routing::PlaceOf(*target, m_identity.m_region, m_identity.m_failureDomain);
   ++aAttempts.m_question.m_handovers;
   return target;
 }
 
 // Takes what came of an attempt and decides whether there is another one.
 void
-CallsDuty::TakeAttempt(const CallJob& aJob, Attempts& aAttempts, AnswerT aNext)
+CallsDuty::TakeAttempt(const CallJob& aJob, CallAttempts& aAttempts, const AnswerT& aNext)
 {
   routing::RetryBudget& budget = BudgetOf(aJob.m_call.service);
   const bool hadNoRoom = aAttempts.m_question.m_outcome == AttemptOutcome::Overloaded;
@@ -440,10 +434,10 @@
   aAttempts.m_question.m_arrivals += aNext.arrived ? 1 : 0;
   // What an earlier target may have done outweighs that a later one did nothing.
   if (!charged || aNext.arrived) {
-    aAttempts.m_answer = std::move(aNext);
+    aAttempts.m_answer = aNext;
   }
   if (hadNoRoom && aAttempts.m_lastRound) {
-    aAttempts.m_verdict = RetryVerdict::Stop;
+    aAttempts.m_verdict = RetryVerdict::StopFull;
     return;
   }
   aAttempts.m_question.m_leftMs = aJob.m_deadline - Clock::Now();
@@ -455,46 +449,40 @@
 {
   const Span span(TraceOf(aJob.m_call), "route", m_random);
   aJob.m_call.parent_span = span.Context().m_parent;
-  routing::NoteRequest(BudgetOf(aJob.m_call.service), Clock::Now());
-  Attempts attempts;
+  routing::RetryBudget& budget = BudgetOf(aJob.m_call.service);
+  routing::NoteRequest(budget, Clock::Now());
+  CallAttempts attempts;
   attempts.m_answer.outcome = CallOutcome::NotRun;
   attempts.m_answer.reason = "the service has no target now";
   attempts.m_question.m_repeat = aJob.m_repeat;
   attempts.m_question.m_handovers = 0;
   attempts.m_question.m_maxAttempts = aJob.m_maxAttempts;
-  while (attempts.m_verdict != RetryVerdict::Stop) {
+  CallerWatch watch(aJob, attempts);
+  while (!routing::IsStop(attempts.m_verdict)) {
     const auto target = NextTarget(aJob, attempts);
     if (!target) {
       break;
     }
     AnswerT next;
     attempts.m_question.m_outcome = co_await TryTarget(aJob, *target, next);
-    TakeAttempt(aJob, attempts, std::move(next));
+    TakeAttempt(aJob, attempts, next);
+    LogAttempt(aJob, attempts, next, routing::RepeatsLeft(budget, Clock::Now()));
   }
-  NoteLatency(span.ElapsedUs());
+  watch.End();
+  NoteEnd(aJob, attempts, span.ElapsedUs());
   span.End(NameOf(attempts.m_answer.outcome), attempts.m_lastNode);
-  if (attempts.m_answer.outcome == CallOutcome::Done) {
-    const auto bytes = static_cast<double>(attempts.m_answer.body.size());
-    routing::NoteValue(m_answerKilobytes, aJob.m_call.route, bytes / kKilobyte);
-  } else {
-    LogFailure(aJob, attempts);
-  }
   co_return Respond(aJob, attempts.m_answer);
 }
 
 void
-CallsDuty::LogFailure(const CallJob& aJob, const Attempts& aAttempts)
+CallsDuty::NoteEnd(const CallJob& aJob, const CallAttempts& aAttempts, std::int64_t aElapsedUs)
 {
-  LogLine(LogLevel::Info, "request_failed")
-    .Add("id", aJob.m_call.request_id)
-    .Add("service", aJob.m_call.service)
-    .Add("outcome", NameOf(aAttempts.m_answer.outcome))
-    .Add("reason", aAttempts.m_answer.reason)
-    .Add("last_node", aAttempts.m_lastNode)
-    .Add("handovers", aAttempts.m_question.m_handovers)
-    .Add("arrivals", aAttempts.m_question.m_arrivals)
-    .Add("elapsed_ms", Clock::Now() - aJob.m_startedAt)
-    .Add("left_ms", aJob.m_deadline - Clock::Now());
+  m_metrics.NoteCall(aJob, aAttempts, aElapsedUs);
+  LogEnd(aJob, aAttempts);
+  if (aAttempts.m_answer.outcome == CallOutcome::Done) {
+    const auto bytes = static_cast<double>(aAttempts.m_answer.body.size());
+    routing::NoteValue(m_answerKilobytes, aJob.m_call.route, bytes / kKilobyte);
+  }
 }
 
 HttpResponse
--- a/modules/node/src/CallsDutyServe.cpp
+++ b/modules/node/src/CallsDutyServe.cpp
@@ -78,8 +78,7 @@
   // What the call waited in buffers, as while this process was paused, is time of its deadline.
   const Milliseconds age = routing::NoteTransit(aInbound->m_transit, call.sent_ms, Clock::Now());
   call.timeout_ms -= static_cast<std::uint32_t>(std::min<Milliseconds>(age, call.timeout_ms));
-  auto run = std::make_shared<TargetRun>();
-  run->m_repeatable = call.repeatable;
+  const auto run = MakeTargetRun(call);
   aInbound->m_calls[call.id] = run;
   asio::co_spawn(
     m_context,
--- a/modules/node/src/ControlDuty.cpp
+++ b/modules/node/src/ControlDuty.cpp
@@ -226,9 +226,7 @@
     if (aAction.m_ready) {
       m_duty.m_shared.m_wasReady.store(true);
     }
-    LogLine(LogLevel::Info, "readiness")
-      .Add("node", m_duty.m_settings.m_node)
-      .Add("ready", aAction.m_ready ? "yes" : "no");
+    LogLine(LogLevel::Info, "readiness").Add("ready", aAction.m_ready ? "yes" : "no");
   }
 };
 
@@ -267,6 +265,7 @@
     [this](net::HttpRequest aRequest) { return m_admin->Handle(std::move(aRequest)); },
     MakeBadRequest);
   BOOST_LEAF_AUTO(adminEndpoint, m_adminServer->Listen(adminAddress));
+  BOOST_LEAF_CHECK(ListenForMetrics());
   Identity identity{ .m_mesh = m_settings.m_mesh,
                      .m_node = m_settings.m_node,
                      .m_incarnation = m_incarnation,
@@ -274,17 +273,32 @@
                      .m_region = m_settings.m_region,
                      .m_failureDomain = m_settings.m_failureDomain };
   m_links.SetIdentity(identity);
+  LogLine(LogLevel::Info, "listening").Add("role", "peer").Add("address", identity.m_address);
   LogLine(LogLevel::Info, "listening")
-    .Add("node", m_settings.m_node)
-    .Add("role", "peer")
-    .Add("address", identity.m_address);
-  LogLine(LogLevel::Info, "listening")
-    .Add("node", m_settings.m_node)
     .Add("role", "admin")
     .Add("address", net::AddressText(adminEndpoint));
   return identity;
 }
 
+Result<void>
+ControlDuty::ListenForMetrics()
+{
+  if (m_settings.m_metricsListen.empty()) {
+    return {};
+  }
+  BOOST_LEAF_AUTO(address, net::ParseAddress(m_settings.m_metricsListen));
+  m_metricsServer = std::make_unique<net::HttpServer>(
+    m_context,
+    net::HttpLimits{ .m_maxConnections = 8 },
+    [this](net::HttpRequest aRequest) { return m_admin->HandleMetrics(std::move(aRequest)); },
+    MakeBadRequest);
+  BOOST_LEAF_AUTO(endpoint, m_metricsServer->Listen(address));
+  LogLine(LogLevel::Info, "listening")
+    .Add("role", "metrics")
+    .Add("address", net::AddressText(endpoint));
+  return {};
+}
+
 void
 ControlDuty::Start(AdminApi::Hooks aHooks)
 {
@@ -381,6 +395,9 @@
     m_operator->Stop();
   }
   m_adminServer->CloseAll();
+  if (m_metricsServer) {
+    m_metricsServer->CloseAll();
+  }
   m_links.Stop();
 }
 
@@ -402,6 +419,12 @@
   return m_links.Bytes();
 }
 
+std::string
+ControlDuty::LogMetricsText() const
+{
+  return m_log ? m_log->MetricsText() : std::string();
+}
+
 platform::LogClientCounts
 ControlDuty::LogCounts() const
 {
--- a/modules/node/src/ControlDuty.h
+++ b/modules/node/src/ControlDuty.h
@@ -52,10 +52,13 @@
   ControlBytes Bytes() const;
   /// @return counts of the log client.
   platform::LogClientCounts LogCounts() const;
+  /// @return Prometheus text of the log client.
+  std::string LogMetricsText() const;
 
 private:
   struct Perform;
 
+  Result<void> ListenForMetrics();
   std::string Stream(std::string_view aName) const;
   net::Awaitable<void> TickLoop();
   void RefreshView();
@@ -70,6 +73,8 @@
   std::unique_ptr<OperatorSource> m_operator;
   std::unique_ptr<AdminApi> m_admin;
   std::unique_ptr<net::HttpServer> m_adminServer;
+  /// None if the settings name no address for it.
+  std::unique_ptr<net::HttpServer> m_metricsServer;
   std::optional<distribution::Controller> m_controller;
   bool m_stopped = false;
 };
--- a/modules/node/src/Node.cpp
+++ b/modules/node/src/Node.cpp
@@ -79,7 +79,7 @@
     m_controlContext.run();
     m_callsGuard.reset();
     callsThread.join();
-    LogLine(LogLevel::Info, "stopped").Add("node", m_settings.m_node);
+    LogLine(LogLevel::Info, "stopped");
     return {};
   }
 
@@ -107,7 +107,6 @@
       },
       [](const Error& aError) { return aError.m_message; });
     LogLine(problem.empty() ? LogLevel::Info : LogLevel::Error, "settings_reloaded")
-      .Add("node", m_settings.m_node)
       .Add("problem", problem.empty() ? "none" : problem);
   }
 
@@ -133,7 +132,7 @@
       return;
     }
     m_stopping = true;
-    LogLine(LogLevel::Info, "draining").Add("node", m_settings.m_node);
+    LogLine(LogLevel::Info, "draining");
     m_shared.m_draining.store(true);
     asio::post(m_callsContext, [this] { m_calls->BeginDrain(); });
     asio::co_spawn(m_controlContext, FinishStop(), asio::detached);
--- a/modules/node/src/PeerLinks.cpp
+++ b/modules/node/src/PeerLinks.cpp
@@ -51,7 +51,7 @@
   if (hello.mesh != aIdentity.m_mesh) {
     LogLine(LogLevel::Warning, "peer_of_another_mesh")
       .Add("mesh", hello.mesh)
-      .Add("node", hello.node)
+      .Add("peer", hello.node)
       .Add("remedy", "check the mesh name and the peer hints in the settings of both nodes");
     return false;
   }
@@ -208,12 +208,16 @@
     [this, node](wire::EnvelopeT aMessage) {
       m_onEvent(distribution::MessageReceived{ .m_node = node, .m_message = std::move(aMessage) });
     },
-    [this, node](const std::string&) {
+    [this, node](const std::string& aReason) {
       Forget(node);
       if (!m_stopped) {
+        LogLine(LogLevel::Info, "peer_link_lost", aReason).Add("peer", node).Add("reason", aReason);
         m_onEvent(distribution::LinkClosed{ .m_node = node });
       }
     });
+  LogLine(LogLevel::Info, "peer_link_opened", {})
+    .Add("peer", node)
+    .Add("dialled", aDialled.empty() ? "no" : "yes");
   m_onEvent(distribution::LinkOpened{ .m_node = node,
                                       .m_address = aDialled.empty() ? aHello.address : aDialled,
                                       .m_region = aHello.region,
--- a/modules/node/src/Settings.cpp
+++ b/modules/node/src/Settings.cpp
@@ -159,6 +159,17 @@
   return reader.Finish();
 }
 
+Result<void>
+ReadMetrics(const json::object* aObject, Settings& aSettings)
+{
+  ObjectReader reader = ReaderOf(aObject, "metrics");
+  BOOST_LEAF_ASSIGN(aSettings.m_metricsListen, reader.TextOr("listen", ""));
+  if (!aSettings.m_metricsListen.empty()) {
+    BOOST_LEAF_CHECK(net::ParseAddress(aSettings.m_metricsListen));
+  }
+  return reader.Finish();
+}
+
 Result<void>
 ReadPeer(const json::object* aObject, Settings& aSettings)
 {
@@ -232,6 +243,7 @@
     BOOST_LEAF_ASSIGN(sections[i], reader.Object(kSections[i]));
   }
   BOOST_LEAF_AUTO(log, reader.Object("log"));
+  BOOST_LEAF_AUTO(metrics, reader.Object("metrics"));
   BOOST_LEAF_AUTO(limits, reader.Object("limits"));
   BOOST_LEAF_AUTO(timings, reader.Object("timings"));
   BOOST_LEAF_AUTO(links, reader.Object("links"));
@@ -244,6 +256,7 @@
   BOOST_LEAF_CHECK(ReadPlatform(sections[4], settings));
   BOOST_LEAF_CHECK(ReadTrace(sections[5], settings));
   BOOST_LEAF_CHECK(ReadLog(log, settings));
+  BOOST_LEAF_CHECK(ReadMetrics(metrics, settings));
   BOOST_LEAF_CHECK(ReadRetries(retries, settings));
   BOOST_LEAF_ASSIGN(settings.m_limits, ReadNumbers(limits, "limits", kLimitFields));
   BOOST_LEAF_ASSIGN(settings.m_timings, ReadNumbers(timings, "timings", kTimingFields));
@@ -288,6 +301,7 @@
     { "platform",
       { { "log", aSettings.m_platformLog }, { "operator_record", aSettings.m_operatorRecord } } },
     { "trace", { { "sample", aSettings.m_traceSample } } },
+    { "metrics", { { "listen", aSettings.m_metricsListen } } },
     { "log", { { "level", NameOf(aSettings.m_logLevel) } } },
     { "limits", NumbersObject(aSettings.m_limits, kLimitFields) },
     { "timings", NumbersObject(aSettings.m_timings, kTimingFields) },
--- a/modules/node/src/TargetRunner.cpp
+++ b/modules/node/src/TargetRunner.cpp
@@ -2,7 +2,9 @@
 
 #include "Address.h"
 #include "Headers.h"
+#include "Log.h"
 #include "Names.h"
+#include "Problem.h"
 #include "Trace.h"
 
 #include <algorithm>
@@ -100,11 +102,28 @@
 void
 Abandon(TargetRun& aRun)
 {
-  if (aRun.m_repeatable || !aRun.m_dispatched) {
+  const bool ends = aRun.m_repeatable || !aRun.m_dispatched;
+  const std::string_view action = !aRun.m_dispatched ? "dropped"
+                                  : ends             ? "broken_off"
+                                                     : "left_to_end";
+  LogLine(LogLevel::Info, "call_abandoned", action)
+    .Add("id", aRun.m_requestId)
+    .Add("action", action)
+    .Add("repeatable", aRun.m_repeatable ? "yes" : "no");
+  if (ends) {
     aRun.m_cancel.emit(net::asio::cancellation_type::terminal);
   }
 }
 
+std::shared_ptr<TargetRun>
+MakeTargetRun(const CallT& aCall)
+{
+  auto run = std::make_shared<TargetRun>();
+  run->m_requestId = aCall.request_id;
+  run->m_repeatable = aCall.repeatable;
+  return run;
+}
+
 // A request in the gate's queue; the timer is cancelled when the gate has decided.
 struct TargetRunner::Waiting
 {
@@ -118,9 +137,10 @@
   bool m_runs = false;
 };
 
-TargetRunner::TargetRunner(net::asio::io_context& aContext, Shared& aShared)
+TargetRunner::TargetRunner(net::asio::io_context& aContext, Shared& aShared, CallMetrics& aMetrics)
   : m_context(aContext)
   , m_shared(aShared)
+  , m_metrics(aMetrics)
 {
 }
 
@@ -309,24 +329,80 @@
   return Clock::Now() < m_unreachableUntil ? "the target refuses connections" : "";
 }
 
+void
+TargetRunner::LogRefused(const CallT& aCall,
+                         std::string_view aCaller,
+                         std::string_view aReason,
+                         Milliseconds aWaitMs) const
+{
+  LogLine(LogLevel::Info, "call_refused", aReason)
+    .Add("id", aCall.request_id)
+    .Add("from", aCaller)
+    .Add("route", aCall.route)
+    .Add("reason", aReason)
+    .Add("target", m_target.m_id)
+    .Add("slots", m_gate.m_options.m_slots)
+    .Add("running", m_gate.m_running)
+    .Add("waiting", m_gate.m_waiting.size())
+    .Add("wait_ms", aWaitMs)
+    .Add("most_wait_ms", aCall.most_wait_ms)
+    .Add("timeout_ms", aCall.timeout_ms);
+}
+
+// Writes a line if the call failed or its objective was missed here.
+void
+TargetRunner::LogEnd(const CallT& aCall,
+                     std::string_view aCaller,
+                     const AnswerT& aAnswer,
+                     std::int64_t aWaitedUs) const
+{
+  constexpr std::uint32_t kFirstServerError = 500;
+  const bool failed = aAnswer.outcome != CallOutcome::Done || aAnswer.status >= kFirstServerError;
+  const std::int64_t objectiveUs = std::int64_t{ aCall.objective_ms } * 1000;
+  const bool late = objectiveUs != 0 && aAnswer.held_us > objectiveUs;
+  if (!failed && !late) {
+    return;
+  }
+  const std::string_view reason = failed ? std::string_view(aAnswer.reason) : "slow";
+  LogLine(LogLevel::Info, failed ? "call_failed" : "call_late", reason)
+    .Add("id", aCall.request_id)
+    .Add("from", aCaller)
+    .Add("route", aCall.route)
+    .Add("target", m_target.m_id)
+    .Add("outcome", NameOf(aAnswer.outcome))
+    .Add("status", aAnswer.status)
+    .Add("reason", reason)
+    .Add("arrived", aAnswer.arrived ? "yes" : "no")
+    .Add("waited_us", aWaitedUs)
+    .Add("held_us", aAnswer.held_us)
+    .Add("timeout_ms", aCall.timeout_ms)
+    .Add("objective_ms", aCall.objective_ms)
+    .Add("running", m_gate.m_running)
+    .Add("waiting", m_gate.m_waiting.size());
+}
+
 Awaitable<AnswerT>
 TargetRunner::Run(CallT aCall, std::string aCaller, std::shared_ptr<TargetRun> aRun)
 {
   const std::string obstacle = WhyNoNewWork(aCall);
   if (!obstacle.empty()) {
+    LogRefused(aCall, aCaller, obstacle, 0);
     co_return Refuse(obstacle, false);
   }
   ApplyServiceLimits(aCall.service);
   const std::int64_t arrivedUs = Clock::NowMicroseconds();
   const Instant deadline = Clock::Now() + aCall.timeout_ms;
   Milliseconds waitMs = 0;
-  routing::GateRequest request = MakeGateRequest(aCall, std::move(aCaller));
+  routing::GateRequest request = MakeGateRequest(aCall, aCaller);
   const bool admitted = co_await Admit(std::move(request), waitMs);
+  const std::int64_t waitedUs = Clock::NowMicroseconds() - arrivedUs;
+  m_metrics.NoteQueue(admitted ? QueueEnd::Run : QueueEnd::Refused, waitedUs);
   if (!admitted) {
     m_shared.m_calls.m_shed.fetch_add(1, std::memory_order_relaxed);
     AnswerT full = Refuse("the target is full", true);
     full.retry_after_ms = static_cast<std::uint32_t>(
       std::clamp<Milliseconds>(waitMs, kRetryAfterLeastMs, kRetryAfterMostMs));
+    LogRefused(aCall, aCaller, full.reason, waitMs);
     co_return full;
   }
   struct Release
@@ -340,6 +416,7 @@
       const std::int64_t ran = m_tells ? Clock::NowMicroseconds() - m_startUs : 0;
       if (m_tells) {
         routing::NoteValue(m_runner.m_serviceUs, m_route, static_cast<double>(ran));
+        m_runner.m_metrics.NoteRun(ran);
       }
       m_runner.Apply(routing::Finish(m_runner.m_gate, Clock::Now(), ran));
     }
@@ -355,6 +432,7 @@
   answer.outstanding = static_cast<std::uint16_t>(Outstanding());
   answer.service_us = static_cast<std::uint32_t>(m_gate.m_serviceUs);
   answer.held_us = static_cast<std::uint32_t>(Clock::NowMicroseconds() - arrivedUs);
+  LogEnd(aCall, aCaller, answer, waitedUs);
   co_return answer;
 }
 
--- a/modules/node/src/TargetRunner.h
+++ b/modules/node/src/TargetRunner.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "AsioTypes.h"
+#include "CallMetrics.h"
 #include "HttpClient.h"
 #include "Messages_generated.h"
 #include "RouteAverages.h"
@@ -24,11 +25,17 @@
 {
   /// Ends the call; see Abandon.
   net::asio::cancellation_signal m_cancel;
+  /// The request's own id, for the log.
+  std::string m_requestId;
   bool m_repeatable = false;
   /// Bytes of it may have reached the target.
   bool m_dispatched = false;
 };
 
+/// @return what those who wait for aCall share with its run.
+std::shared_ptr<TargetRun>
+MakeTargetRun(const wire::CallT& aCall);
+
 /// Nobody waits for the call any more. What waits is dropped and what may be repeated is broken
 /// off; what may run only once and was started is left to end by itself.
 void
@@ -38,7 +45,8 @@
 class TargetRunner
 {
 public:
-  TargetRunner(net::asio::io_context& aContext, Shared& aShared);
+  /// @param aMetrics must outlive this.
+  TargetRunner(net::asio::io_context& aContext, Shared& aShared, CallMetrics& aMetrics);
 
   /// Takes the target's latest report.
   void SetTarget(const routing::TargetReport& aReport);
@@ -66,12 +74,21 @@
                                          Instant aDeadline,
                                          std::shared_ptr<TargetRun> aRun);
   std::string WhyNoNewWork(const wire::CallT& aCall) const;
+  void LogRefused(const wire::CallT& aCall,
+                  std::string_view aCaller,
+                  std::string_view aReason,
+                  Milliseconds aWaitMs) const;
+  void LogEnd(const wire::CallT& aCall,
+              std::string_view aCaller,
+              const wire::AnswerT& aAnswer,
+              std::int64_t aWaitedUs) const;
   void Apply(const routing::GateDecision& aDecision);
   void ApplyServiceLimits(const std::string& aService);
   wire::AnswerT Refuse(std::string_view aReason, bool aOverloaded) const;
 
   net::asio::io_context& m_context;
   Shared& m_shared;
+  CallMetrics& m_metrics;
   routing::SlotGate m_gate;
   routing::TargetReport m_target;
   /// When the target said that it leaves.
--- a/modules/platform/include/LogClient.h
+++ b/modules/platform/include/LogClient.h
@@ -61,6 +61,8 @@
                    std::string_view aKey,
                    std::string_view aValue,
                    const OnAppend& aHandler);
+  /// @return Prometheus text of how long calls took. Any thread.
+  std::string MetricsText() const;
   /// @return the counts so far.
   LogClientCounts Counts() const;
 
--- a/modules/platform/src/LogClient.cpp
+++ b/modules/platform/src/LogClient.cpp
@@ -2,12 +2,18 @@
 
 #include "Address.h"
 #include "AsioTypes.h"
+#include "Histogram.h"
 #include "HttpClient.h"
+#include "Log.h"
+#include "NameTable.h"
 #include "Ring.h"
 #include "StoreCalls.h"
 
+#include <array>
 #include <atomic>
 #include <boost/asio/executor_work_guard.hpp>
+#include <fmt/core.h>
+#include <mutex>
 #include <thread>
 
 namespace sequoiastep::platform {
@@ -20,6 +26,32 @@
 using net::HttpResult;
 using Job = std::function<Awaitable<void>()>;
 
+namespace {
+
+// The kinds of calls.
+enum class LogCall : std::uint8_t
+{
+  Read,
+  Newest,
+  Append,
+};
+
+constexpr std::array<NameRow<LogCall>, 3> kCallNames{ {
+  { LogCall::Read, "read" },
+  { LogCall::Newest, "newest" },
+  { LogCall::Append, "append" },
+} };
+
+// How long calls took; guarded by a mutex, since another thread reads them.
+struct CallTimes
+{
+  std::mutex m_mutex;
+  std::array<Histogram, kCallNames.size()> m_answered;
+  std::array<Histogram, kCallNames.size()> m_failed;
+};
+
+} // namespace
+
 struct LogClientState
 {
   explicit LogClientState(LogClientOptions aOptions)
@@ -44,13 +76,48 @@
   std::atomic<std::uint64_t> m_failures{ 0 };
   std::atomic<std::uint64_t> m_received{ 0 };
   std::atomic<std::uint64_t> m_sent{ 0 };
+  CallTimes m_times;
 };
 
 namespace {
 
+void
+NoteCall(LogClientState& aState, LogCall aCall, bool aAnswered, std::int64_t aElapsedUs)
+{
+  CallTimes& times = aState.m_times;
+  const std::lock_guard lock(times.m_mutex);
+  auto& histograms = aAnswered ? times.m_answered : times.m_failed;
+  NoteDuration(histograms[static_cast<std::size_t>(aCall)], aElapsedUs);
+}
+
+void
+LogCallFailed(LogCall aCall,
+              const std::string& aTarget,
+              const HttpResult& aResult,
+              std::int64_t aElapsedUs)
+{
+  const std::string reason = aResult.m_response
+                               ? fmt::format("status {}", aResult.m_response->result_int())
+                               : aResult.m_reason;
+  LogLine(LogLevel::Info, "store_call_failed", reason)
+    .Add("call", NameIn(kCallNames, aCall))
+    .Add("target", aTarget)
+    .Add("reason", reason)
+    .Add("elapsed_us", aElapsedUs)
+    .Add("reused", aResult.m_reused ? "yes" : "no");
+}
+
+bool
+Succeeded(const HttpResult& aResult)
+{
+  return aResult.m_response && aResult.m_response->result() == http::status::ok;
+}
+
 Awaitable<HttpResult>
-Exchange(LogClientState& aState, HttpRequest aRequest, Milliseconds aExtraMs)
+Exchange(LogClientState& aState, LogCall aCall, HttpRequest aRequest, Milliseconds aExtraMs)
 {
+  const std::int64_t startUs = Clock::NowMicroseconds();
+  const std::string target(aRequest.target());
   aRequest.set(http::field::host, aState.m_options.m_address);
   aState.m_requests.fetch_add(1);
   aState.m_sent.fetch_add(aRequest.body().size());
@@ -61,13 +128,19 @@
   } else {
     aState.m_failures.fetch_add(1);
   }
+  const std::int64_t elapsedUs = Clock::NowMicroseconds() - startUs;
+  NoteCall(aState, aCall, result.m_response.has_value(), elapsedUs);
+  if (!Succeeded(result)) {
+    LogCallFailed(aCall, target, result, elapsedUs);
+  }
   co_return result;
 }
 
 Awaitable<ReadReply>
 ReadRange(LogClientState& aState, std::string aTopic, std::uint64_t aFrom, Milliseconds aWaitMs)
 {
-  HttpResult result = co_await Exchange(aState, adapter::MakeRead(aTopic, aFrom, aWaitMs), aWaitMs);
+  HttpRequest request = adapter::MakeRead(aTopic, aFrom, aWaitMs);
+  HttpResult result = co_await Exchange(aState, LogCall::Read, std::move(request), aWaitMs);
   co_return result.m_response ? adapter::ParseRead(*result.m_response, aFrom) : ReadReply{};
 }
 
@@ -77,7 +150,8 @@
   NewestReply whole;
   std::string after;
   do {
-    HttpResult result = co_await Exchange(aState, adapter::MakeReadNewest(aTopic, after), 0);
+    HttpRequest request = adapter::MakeReadNewest(aTopic, after);
+    HttpResult result = co_await Exchange(aState, LogCall::Newest, std::move(request), 0);
     NewestReply page = result.m_response ? adapter::ParseNewest(*result.m_response) : NewestReply{};
     if (!page.m_ok || (page.m_hasMore && page.m_entries.empty())) {
       co_return NewestReply{};
@@ -99,7 +173,8 @@
 Awaitable<AppendReply>
 AppendOne(LogClientState& aState, std::string aTopic, std::string aBody)
 {
-  HttpResult result = co_await Exchange(aState, adapter::MakeAppend(aTopic, aBody), 0);
+  HttpRequest request = adapter::MakeAppend(aTopic, aBody);
+  HttpResult result = co_await Exchange(aState, LogCall::Append, std::move(request), 0);
   if (result.m_response) {
     co_return adapter::ParseAppend(*result.m_response);
   }
@@ -192,6 +267,24 @@
   Append(aTopic, adapter::EncodeKeyed(aKey, aValue), aHandler);
 }
 
+std::string
+LogClient::MetricsText() const
+{
+  CallTimes& times = m_state->m_times;
+  std::string text = "# TYPE sequoiastep_store_call_seconds histogram\n";
+  const std::lock_guard lock(times.m_mutex);
+  for (const auto& row : kCallNames) {
+    const auto place = static_cast<std::size_t>(row.m_value);
+    const auto append = [&](std::string_view aOutcome, const Histogram& aHistogram) {
+      const std::string labels = fmt::format("call=\"{}\",outcome=\"{}\"", row.m_name, aOutcome);
+      AppendHistogram(text, "sequoiastep_store_call_seconds", labels, aHistogram);
+    };
+    append("answered", times.m_answered[place]);
+    append("no_answer", times.m_failed[place]);
+  }
+  return text;
+}
+
 LogClientCounts
 LogClient::Counts() const
 {
--- a/modules/routing/include/Picker.h
+++ b/modules/routing/include/Picker.h
@@ -18,6 +18,18 @@
 
 namespace sequoiastep::routing {
 
+/// Where a target lies as seen from this node.
+enum class Place : std::uint8_t
+{
+  OwnDomain,
+  OwnRegion,
+  OtherRegion,
+};
+
+/// @return the name of aPlace in logs and metrics.
+std::string_view
+NameOf(Place aPlace);
+
 /// A node with a target of the service.
 struct Candidate
 {
@@ -94,6 +106,10 @@
 /// Below this share of trusted targets, distrust is set aside and all are tried.
 constexpr double kLeastTrustedShare = 0.34;
 
+/// @return where aCandidate lies as seen from the call's start.
+Place
+PlaceOf(const Candidate& aCandidate, std::string_view aRegion, std::string_view aFailureDomain);
+
 /// @return the index of the candidate to call, or nothing if there is none.
 std::optional<std::size_t>
 Pick(const std::vector<Candidate>& aCandidates,
@@ -110,6 +126,10 @@
 double
 RampShare(const Candidate& aCandidate, Instant aNow);
 
+/// @return what is known of aNode, or null.
+const TargetStats*
+FindStats(const PickState& aState, std::string_view aNode);
+
 /// Notes that a call goes to aNode.
 void
 NoteDispatch(PickState& aState, std::string_view aNode);
--- a/modules/routing/include/Retry.h
+++ b/modules/routing/include/Retry.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <deque>
+#include <string_view>
 
 namespace sequoiastep::routing {
 
@@ -26,6 +27,10 @@
   Unknown,
 };
 
+/// @return the name of aOutcome in logs.
+std::string_view
+NameOf(AttemptOutcome aOutcome);
+
 /// What a node may spend on repeats to one service. All nodes share one allowance, each by its own
 /// requests and an equal part of the extra.
 struct RetryAllowance
@@ -94,14 +99,38 @@
 /// What to do after an attempt.
 enum class RetryVerdict
 {
-  /// The answer stands.
+  /// The answer stands: it is a success, or the call may not run again.
   Stop,
+  /// The call went to as many nodes as one call may.
+  StopHandovers,
+  /// The call went to as many targets as its route allows.
+  StopAttempts,
+  /// Its time is over.
+  StopNoTime,
+  /// The repeats of the latest window are used up.
+  StopBudget,
+  /// No other target is known.
+  StopNoTarget,
+  /// Targets that may have the call wait as long as it can are full.
+  StopFull,
   /// Try another target; the budget is not touched.
   TryFree,
   /// Try another target; the budget was charged.
   TryCharged,
 };
 
+/// @return the name of aVerdict in logs.
+std::string_view
+NameOf(RetryVerdict aVerdict);
+
+/// @return true if aVerdict means no further attempt.
+bool
+IsStop(RetryVerdict aVerdict);
+
+/// @return repeats that the window still allows.
+double
+RepeatsLeft(const RetryBudget& aBudget, Instant aNow);
+
 /// @return whether the call may be tried again. A repeat is charged if a target has seen the call.
 RetryVerdict
 MayRetry(RetryBudget& aBudget, const RetryQuestion& aQuestion, Instant aNow);
--- a/modules/routing/src/Picker.cpp
+++ b/modules/routing/src/Picker.cpp
@@ -1,10 +1,19 @@
 #include "Picker.h"
 
+#include "NameTable.h"
+
 #include <algorithm>
 #include <array>
 
 namespace sequoiastep::routing {
 
+const TargetStats*
+FindStats(const PickState& aState, std::string_view aNode)
+{
+  const auto found = aState.m_targets.find(aNode);
+  return found == aState.m_targets.end() ? nullptr : &found->second;
+}
+
 namespace {
 
 constexpr double kLatencyWeight = 0.2;
@@ -28,12 +37,11 @@
 constexpr double kCalmShare = 0.5;
 constexpr double kCalmWeight = 0.1;
 
-enum class Tier : std::uint8_t
-{
-  OwnDomain,
-  OwnRegion,
-  OtherRegion,
-};
+constexpr std::array<NameRow<Place>, 3> kPlaceNames{ {
+  { Place::OwnDomain, "own_domain" },
+  { Place::OwnRegion, "own_region" },
+  { Place::OtherRegion, "other_region" },
+} };
 
 // A candidate with what is known of it now.
 struct Ranked
@@ -46,32 +54,23 @@
   bool m_unknown = false;
 };
 
-Tier
-TierOf(const Candidate& aCandidate, const PickRequest& aRequest)
-{
-  if (aCandidate.m_region != aRequest.m_region) {
-    return Tier::OtherRegion;
-  }
-  return aCandidate.m_failureDomain == aRequest.m_failureDomain ? Tier::OwnDomain : Tier::OwnRegion;
-}
-
 const TargetStats&
 StatsOf(const PickState& aState, std::string_view aNode)
 {
   static const TargetStats kNone;
-  const auto found = aState.m_targets.find(aNode);
-  return found == aState.m_targets.end() ? kNone : found->second;
+  const TargetStats* found = FindStats(aState, aNode);
+  return found == nullptr ? kNone : *found;
 }
 
 double
-BytesMs(const PickRequest& aRequest, Tier aTier)
+BytesMs(const PickRequest& aRequest, Place aPlace)
 {
-  switch (aTier) {
-    case Tier::OwnDomain:
+  switch (aPlace) {
+    case Place::OwnDomain:
       return 0;
-    case Tier::OwnRegion:
+    case Place::OwnRegion:
       return aRequest.m_kilobytes * aRequest.m_prices.m_crossDomainMsPerKb;
-    case Tier::OtherRegion:
+    case Place::OtherRegion:
       break;
   }
   return aRequest.m_kilobytes * aRequest.m_prices.m_crossRegionMsPerKb;
@@ -109,12 +108,12 @@
      Instant aNow)
 {
   const TargetStats& stats = StatsOf(aState, aCandidate.m_node);
-  const Tier tier = TierOf(aCandidate, aRequest);
+  const Place place = PlaceOf(aCandidate, aRequest.m_region, aRequest.m_failureDomain);
   const double way =
-    stats.m_wayUs > 0 ? stats.m_wayUs / kUsPerMs : kUnknownWayMs[static_cast<std::size_t>(tier)];
+    stats.m_wayUs > 0 ? stats.m_wayUs / kUsPerMs : kUnknownWayMs[static_cast<std::size_t>(place)];
   const double wait = PredictedWaitMs(aCandidate, stats, aNow);
   return { .m_index = aIndex,
-           .m_costMs = BytesMs(aRequest, tier) +
+           .m_costMs = BytesMs(aRequest, place) +
                        LatenessMs(way + ServiceMs(aCandidate, stats, aUsualUs, aNow) + wait,
                                   aRequest.m_objectiveMs),
            .m_guessedMs = way + wait,
@@ -148,7 +147,7 @@
   std::vector<Ranked> ranked;
   for (std::size_t i = 0; i < aCandidates.size(); ++i) {
     const Candidate& candidate = aCandidates[i];
-    const bool foreign = TierOf(candidate, aRequest) == Tier::OtherRegion;
+    const bool foreign = candidate.m_region != aRequest.m_region;
     const bool tried = aRequest.m_tried != nullptr && aRequest.m_tried->contains(candidate.m_node);
     if (!tried && (!foreign || aRequest.m_crossRegion)) {
       ranked.push_back(Rank(i, candidate, aState, aRequest, usualUs, aNow));
@@ -202,6 +201,21 @@
 
 } // namespace
 
+std::string_view
+NameOf(Place aPlace)
+{
+  return NameIn(kPlaceNames, aPlace);
+}
+
+Place
+PlaceOf(const Candidate& aCandidate, std::string_view aRegion, std::string_view aFailureDomain)
+{
+  if (aCandidate.m_region != aRegion) {
+    return Place::OtherRegion;
+  }
+  return aCandidate.m_failureDomain == aFailureDomain ? Place::OwnDomain : Place::OwnRegion;
+}
+
 double
 RampShare(const Candidate& aCandidate, Instant aNow)
 {
--- a/modules/routing/src/Retry.cpp
+++ b/modules/routing/src/Retry.cpp
@@ -1,6 +1,9 @@
 #include "Retry.h"
 
+#include "NameTable.h"
+
 #include <algorithm>
+#include <array>
 
 namespace sequoiastep::routing {
 
@@ -9,6 +12,35 @@
 constexpr Milliseconds kLeastLeftMs = 5;
 constexpr Milliseconds kSpanMs = 500;
 
+constexpr std::array<NameRow<AttemptOutcome>, 6> kOutcomeNames{ {
+  { AttemptOutcome::Done, "done" },
+  { AttemptOutcome::NotRun, "not_run" },
+  { AttemptOutcome::Overloaded, "no_room" },
+  { AttemptOutcome::TurnedAway, "turned_away" },
+  { AttemptOutcome::Failed, "ran_and_failed" },
+  { AttemptOutcome::Unknown, "unknown" },
+} };
+
+constexpr std::array<NameRow<RetryVerdict>, 9> kVerdictNames{ {
+  { RetryVerdict::Stop, "answer_stands" },
+  { RetryVerdict::StopHandovers, "handovers_used_up" },
+  { RetryVerdict::StopAttempts, "attempts_used_up" },
+  { RetryVerdict::StopNoTime, "no_time_left" },
+  { RetryVerdict::StopBudget, "retry_budget_spent" },
+  { RetryVerdict::StopNoTarget, "no_other_target" },
+  { RetryVerdict::StopFull, "targets_full" },
+  { RetryVerdict::TryFree, "try_free" },
+  { RetryVerdict::TryCharged, "try_charged" },
+} };
+
+// What the window holds, of the spans that lie within it and those that overlap it.
+struct WindowSums
+{
+  double m_allowed = 0;
+  double m_repeats = 0;
+  double m_failedRepeats = 0;
+};
+
 // A whole span is forgotten only when all of it is older than the window.
 RetrySpan&
 CurrentSpan(RetryBudget& aBudget, Instant aNow)
@@ -25,21 +57,28 @@
 }
 
 // Requests of the spans that lie within the window, repeats of all that overlap it.
-bool
-HasLeft(const RetryBudget& aBudget, Instant aNow, bool aFailed)
+WindowSums
+SumsOf(const RetryBudget& aBudget, Instant aNow)
 {
+  WindowSums sums;
   double requests = 0;
-  double repeats = 0;
-  double failed = 0;
   for (const RetrySpan& span : aBudget.m_spans) {
     const bool inside = aNow - span.m_start <= aBudget.m_allowance.m_windowMs;
     requests += inside ? span.m_requests : 0;
-    repeats += span.m_repeats;
-    failed += span.m_failedRepeats;
+    sums.m_repeats += span.m_repeats;
+    sums.m_failedRepeats += span.m_failedRepeats;
   }
-  const RetryAllowance& allowance = aBudget.m_allowance;
-  const double all = allowance.m_ratio * requests + allowance.m_extra;
-  return repeats + 1 <= all && (!aFailed || failed + 1 <= all * allowance.m_failedShare);
+  sums.m_allowed = aBudget.m_allowance.m_ratio * requests + aBudget.m_allowance.m_extra;
+  return sums;
+}
+
+bool
+HasLeft(const RetryBudget& aBudget, Instant aNow, bool aFailed)
+{
+  const WindowSums sums = SumsOf(aBudget, aNow);
+  const double failedShare = aBudget.m_allowance.m_failedShare;
+  return sums.m_repeats + 1 <= sums.m_allowed &&
+         (!aFailed || sums.m_failedRepeats + 1 <= sums.m_allowed * failedShare);
 }
 
 bool
@@ -91,21 +130,51 @@
   }
 }
 
+std::string_view
+NameOf(AttemptOutcome aOutcome)
+{
+  return NameIn(kOutcomeNames, aOutcome);
+}
+
+std::string_view
+NameOf(RetryVerdict aVerdict)
+{
+  return NameIn(kVerdictNames, aVerdict);
+}
+
+bool
+IsStop(RetryVerdict aVerdict)
+{
+  return aVerdict != RetryVerdict::TryFree && aVerdict != RetryVerdict::TryCharged;
+}
+
+double
+RepeatsLeft(const RetryBudget& aBudget, Instant aNow)
+{
+  const WindowSums sums = SumsOf(aBudget, aNow);
+  return std::max(0.0, sums.m_allowed - sums.m_repeats);
+}
+
 RetryVerdict
 MayRetry(RetryBudget& aBudget, const RetryQuestion& aQuestion, Instant aNow)
 {
-  if (!IsRepeatable(aQuestion) || aQuestion.m_handovers >= kMostHandovers ||
-      aQuestion.m_leftMs < kLeastLeftMs) {
+  if (!IsRepeatable(aQuestion)) {
     return RetryVerdict::Stop;
   }
+  if (aQuestion.m_handovers >= kMostHandovers) {
+    return RetryVerdict::StopHandovers;
+  }
+  if (aQuestion.m_leftMs < kLeastLeftMs) {
+    return RetryVerdict::StopNoTime;
+  }
   if (aQuestion.m_arrivals == 0) {
     return RetryVerdict::TryFree; // No target saw it, so that trying another adds no load.
   }
-  const bool failed = aQuestion.m_outcome == AttemptOutcome::Failed;
-  if (aQuestion.m_arrivals >= aQuestion.m_maxAttempts || !TakeRepeat(aBudget, aNow, failed)) {
-    return RetryVerdict::Stop;
+  if (aQuestion.m_arrivals >= aQuestion.m_maxAttempts) {
+    return RetryVerdict::StopAttempts;
   }
-  return RetryVerdict::TryCharged;
+  const bool failed = aQuestion.m_outcome == AttemptOutcome::Failed;
+  return TakeRepeat(aBudget, aNow, failed) ? RetryVerdict::TryCharged : RetryVerdict::StopBudget;
 }
 
 } // namespace sequoiastep::routing
--- a/modules/routing/tests/RoutingTest.cpp
+++ b/modules/routing/tests/RoutingTest.cpp
@@ -389,8 +389,8 @@
   CHECK(verdict(AttemptOutcome::Failed, config::Repeat::Never) == RetryVerdict::Stop);
   CHECK(verdict(AttemptOutcome::Done, config::Repeat::Safe) == RetryVerdict::Stop);
   CHECK(verdict(AttemptOutcome::NotRun, config::Repeat::Safe, kMostHandovers) ==
-        RetryVerdict::Stop);
-  CHECK(verdict(AttemptOutcome::NotRun, config::Repeat::Safe, 1, 1) == RetryVerdict::Stop);
+        RetryVerdict::StopHandovers);
+  CHECK(verdict(AttemptOutcome::NotRun, config::Repeat::Safe, 1, 1) == RetryVerdict::StopNoTime);
 }
 
 TEST_CASE("a call goes to no more targets than its route allows")
@@ -403,7 +403,7 @@
                           .m_leftMs = 100 };
   CHECK(MayRetry(budget, question, kNow) == RetryVerdict::TryCharged);
   question.m_arrivals = 2;
-  CHECK(MayRetry(budget, question, kNow) == RetryVerdict::Stop);
+  CHECK(MayRetry(budget, question, kNow) == RetryVerdict::StopAttempts);
 }
 
 TEST_CASE("with every target failing no window holds more repeats than the allowance")
