Keep the reason of a failed attempt alive while its line is written

Cause: a conditional of a literal and a std::string made a temporary whose view was logged: reasons of attempt_failed and request_failed were broken bytes.

--- a/modules/node/src/CallLog.cpp
+++ b/modules/node/src/CallLog.cpp
@@ -22,7 +22,10 @@
 std::string_view
 ReasonOf(const AnswerT& aAnswer)
 {
-  return IsServerError(aAnswer) ? "the target answered with an error of its own" : aAnswer.reason;
+  if (IsServerError(aAnswer)) {
+    return "the target answered with an error of its own";
+  }
+  return aAnswer.reason;
 }
 
 // Adds what every line of a call tells.
