Judge a target's speed by what its requests' routes take elsewhere

Cause: the time of a request at a target was predicted from the mix that the target happened to run. One that ran bookings (305 ms) looked slow for inner lookups (26 ms), one that ran lookups looked fast: lookups crowded on three of 14 targets (0.98 of their slots used, 70 ms of wait) while others stood at 0.17 to 0.6; their callers held their own slots all the while. Ruled out: too little capacity (the mean use was 0.64). Now each answer tells how long its request was at the target; a target's slowness is the moving average of that over what the route usually takes. The mix still tells how fast a queue drains.

--- a/modules/node/src/CallsDuty.h
+++ b/modules/node/src/CallsDuty.h
@@ -108,9 +108,14 @@
                              wire::CallT aCall,
                              std::shared_ptr<TargetRun> aRun);
   void Receive(const InboundPtr& aInbound, wire::EnvelopeT aMessage);
-  routing::AttemptOutcome Judge(const wire::AnswerT& aAnswer,
+  routing::AttemptOutcome Judge(const CallJob& aJob,
+                                const wire::AnswerT& aAnswer,
                                 const std::string& aNode,
                                 std::int64_t aElapsedUs);
+  void NoteRun(const CallJob& aJob,
+               const wire::AnswerT& aAnswer,
+               const std::string& aNode,
+               std::int64_t aElapsedUs);
   net::HttpResponse Respond(const CallJob& aJob, const wire::AnswerT& aAnswer);
   void CountOutcome(wire::CallOutcome aOutcome);
   net::Awaitable<void> TickLoop();
@@ -134,6 +139,8 @@
   routing::PickState m_picks;
   std::map<std::string, routing::RetryBudget, std::less<>> m_budgets;
   routing::WeightTurns m_weightTurns;
+  /// How long requests of a route run, over all targets, in microseconds.
+  routing::RouteAverages m_runUs;
   routing::RouteAverages m_answerKilobytes{ .m_weight = 0.2 };
   /// Version whose limits for callers are applied.
   std::uint64_t m_limitsVersion = 0;
--- a/modules/node/src/CallsDutyRoute.cpp
+++ b/modules/node/src/CallsDutyRoute.cpp
@@ -295,7 +295,10 @@
 }
 
 AttemptOutcome
-CallsDuty::Judge(const AnswerT& aAnswer, const std::string& aNode, std::int64_t aElapsedUs)
+CallsDuty::Judge(const CallJob& aJob,
+                 const AnswerT& aAnswer,
+                 const std::string& aNode,
+                 std::int64_t aElapsedUs)
 {
   const Instant now = Clock::Now();
   const AttemptOutcome outcome = OutcomeOf(aAnswer);
@@ -305,7 +308,7 @@
     case AttemptOutcome::Done:
     case AttemptOutcome::Failed:
       LogTrusted(aNode);
-      routing::NoteAnswer(m_picks, aNode, aElapsedUs, aAnswer.held_us, report, now);
+      NoteRun(aJob, aAnswer, aNode, aElapsedUs);
       break;
     case AttemptOutcome::Overloaded:
       routing::NoteOverload(m_picks, aNode, report, now);
@@ -320,6 +323,24 @@
   return outcome;
 }
 
+// A target's own error may come sooner than an answer would, so only answers tell of speed.
+void
+CallsDuty::NoteRun(const CallJob& aJob,
+                   const AnswerT& aAnswer,
+                   const std::string& aNode,
+                   std::int64_t aElapsedUs)
+{
+  const routing::LoadReport report{ .m_load = aAnswer.outstanding,
+                                    .m_serviceUs = aAnswer.service_us };
+  routing::AnswerTimes times{ .m_latencyUs = aElapsedUs, .m_heldUs = aAnswer.held_us };
+  if (!IsServerError(aAnswer)) {
+    times.m_ranUs = aAnswer.ran_us;
+    times.m_usualUs = routing::AverageOf(m_runUs, aJob.m_call.route).value_or(0);
+    routing::NoteValue(m_runUs, aJob.m_call.route, aAnswer.ran_us);
+  }
+  routing::NoteAnswer(m_picks, aNode, times, report, Clock::Now());
+}
+
 void
 CallsDuty::LogTrusted(const std::string& aNode) const
 {
@@ -350,16 +371,18 @@
   if (service == view->m_services.end()) {
     return std::nullopt;
   }
-  const auto picked = routing::Pick(service->second,
-                                    m_picks,
-                                    { .m_region = m_identity.m_region,
-                                      .m_failureDomain = m_identity.m_failureDomain,
-                                      .m_crossRegion = aJob.m_crossRegion,
-                                      .m_tried = &aTried,
-                                      .m_kilobytes = aJob.m_kilobytes,
-                                      .m_objectiveMs = aJob.m_objective - Clock::Now() },
-                                    Clock::Now(),
-                                    m_random);
+  const auto picked =
+    routing::Pick(service->second,
+                  m_picks,
+                  { .m_region = m_identity.m_region,
+                    .m_failureDomain = m_identity.m_failureDomain,
+                    .m_crossRegion = aJob.m_crossRegion,
+                    .m_tried = &aTried,
+                    .m_kilobytes = aJob.m_kilobytes,
+                    .m_usualUs = routing::AverageOf(m_runUs, aJob.m_call.route).value_or(0),
+                    .m_objectiveMs = aJob.m_objective - Clock::Now() },
+                  Clock::Now(),
+                  m_random);
   return picked ? std::optional(service->second[*picked]) : std::nullopt;
 }
 
@@ -384,7 +407,7 @@
   Leave leave{ .m_picks = m_picks, .m_node = aTarget.m_node };
   aAnswer = co_await Attempt(aJob, aTarget);
   leave.m_judged = true;
-  co_return Judge(aAnswer, aTarget.m_node, Clock::NowMicroseconds() - startUs);
+  co_return Judge(aJob, aAnswer, aTarget.m_node, Clock::NowMicroseconds() - startUs);
 }
 
 // How long a call may wait at a target while others may have room: what moving it would cost.
--- a/modules/node/src/TargetRunner.cpp
+++ b/modules/node/src/TargetRunner.cpp
@@ -423,10 +423,10 @@
   };
   AnswerT answer;
   {
-    Release release{ .m_runner = *this,
-                     .m_route = aCall.route,
-                     .m_startUs = Clock::NowMicroseconds() };
+    const std::int64_t startUs = Clock::NowMicroseconds();
+    Release release{ .m_runner = *this, .m_route = aCall.route, .m_startUs = startUs };
     answer = co_await Dispatch(aCall, deadline, aRun);
+    answer.ran_us = static_cast<std::uint32_t>(Clock::NowMicroseconds() - startUs);
     release.m_tells = answer.outcome == CallOutcome::Done || answer.timed_out;
   }
   answer.outstanding = static_cast<std::uint16_t>(Outstanding());
--- a/modules/routing/include/Picker.h
+++ b/modules/routing/include/Picker.h
@@ -66,6 +66,8 @@
   /// m_outstanding at the report.
   std::uint32_t m_outstandingThen = 0;
   double m_serviceUs = 0;
+  /// How much longer than elsewhere requests of the same routes take at the target.
+  double m_slowness = 1;
   /// Moving average of the latency, in microseconds; 0 before the first answer.
   double m_latencyUs = 0;
   /// Moving average of the way there and back, in microseconds; 0 before the first answer.
@@ -98,6 +100,8 @@
   const std::set<std::string, std::less<>>* m_tried = nullptr;
   /// Bytes that probably travel, request and answer.
   double m_kilobytes = 1;
+  /// How long requests of this route usually run, in microseconds; 0 if not known.
+  double m_usualUs = 0;
   BytePrices m_prices;
   /// What is left of the latency objective. An answer well within it is hardly worth a longer way.
   Milliseconds m_objectiveMs = 0;
@@ -134,14 +138,24 @@
 void
 NoteDispatch(PickState& aState, std::string_view aNode);
 
+/// How long a call took that was answered, in microseconds.
+struct AnswerTimes
+{
+  /// In all.
+  std::int64_t m_latencyUs = 0;
+  /// How long of it the node beside the target had the call.
+  std::int64_t m_heldUs = 0;
+  /// How long of it the target had the request; 0 if not known.
+  std::int64_t m_ranUs = 0;
+  /// How long requests of its route usually run, over all targets; 0 if not known.
+  double m_usualUs = 0;
+};
+
 /// Notes that a call to aNode was answered.
-/// @param aLatencyUs how long the call took in all.
-/// @param aHeldUs how long of it the node beside the target had it.
 void
 NoteAnswer(PickState& aState,
            std::string_view aNode,
-           std::int64_t aLatencyUs,
-           std::int64_t aHeldUs,
+           const AnswerTimes& aTimes,
            const LoadReport& aReport,
            Instant aNow);
 
--- a/modules/routing/src/Picker.cpp
+++ b/modules/routing/src/Picker.cpp
@@ -26,6 +26,9 @@
 constexpr Milliseconds kAvoidLeastMs = 100;
 constexpr Milliseconds kAvoidMostMs = 5000;
 constexpr std::uint32_t kMostDoublings = 6;
+// One answer says little of a target's speed: requests of one route differ.
+constexpr double kLeastSlowness = 0.2;
+constexpr double kMostSlowness = 5;
 // Equal costs are told apart by chance, so that nodes with the same view do not all pick the same.
 constexpr double kNoiseMs = 2;
 constexpr double kNoiseShare = 0.1;
@@ -76,12 +79,12 @@
   return aRequest.m_kilobytes * aRequest.m_prices.m_crossRegionMsPerKb;
 }
 
-// How long a request runs there; a target that warms up is slower than it will be.
+// How long a request of the route runs there: what the target usually runs tells nothing of it,
+// its speed does. A target that warms up is slower than it will be.
 double
 ServiceMs(const Candidate& aCandidate, const TargetStats& aStats, double aUsualUs, Instant aNow)
 {
-  const double us = aStats.m_serviceUs > 0 ? aStats.m_serviceUs : aUsualUs;
-  return us / kUsPerMs * (2 - RampShare(aCandidate, aNow));
+  return aUsualUs / kUsPerMs * aStats.m_slowness * (2 - RampShare(aCandidate, aNow));
 }
 
 // What an answer after aTimeMs costs a caller.
@@ -143,7 +146,8 @@
         const PickRequest& aRequest,
         Instant aNow)
 {
-  const double usualUs = UsualServiceUs(aCandidates, aState);
+  const double usualUs =
+    aRequest.m_usualUs > 0 ? aRequest.m_usualUs : UsualServiceUs(aCandidates, aState);
   std::vector<Ranked> ranked;
   for (std::size_t i = 0; i < aCandidates.size(); ++i) {
     const Candidate& candidate = aCandidates[i];
@@ -282,15 +286,19 @@
 void
 NoteAnswer(PickState& aState,
            std::string_view aNode,
-           std::int64_t aLatencyUs,
-           std::int64_t aHeldUs,
+           const AnswerTimes& aTimes,
            const LoadReport& aReport,
            Instant aNow)
 {
   NoteAbandoned(aState, aNode);
   TargetStats& stats = aState.m_targets[std::string(aNode)];
-  Blend(stats.m_latencyUs, static_cast<double>(aLatencyUs));
-  Blend(stats.m_wayUs, static_cast<double>(std::max<std::int64_t>(1, aLatencyUs - aHeldUs)));
+  const std::int64_t wayUs = std::max<std::int64_t>(1, aTimes.m_latencyUs - aTimes.m_heldUs);
+  Blend(stats.m_latencyUs, static_cast<double>(aTimes.m_latencyUs));
+  Blend(stats.m_wayUs, static_cast<double>(wayUs));
+  if (aTimes.m_ranUs > 0 && aTimes.m_usualUs > 0) {
+    const double slowness = static_cast<double>(aTimes.m_ranUs) / aTimes.m_usualUs;
+    Blend(stats.m_slowness, std::clamp(slowness, kLeastSlowness, kMostSlowness));
+  }
   TakeReport(stats, aReport, aNow);
   stats.m_failures = 0;
   stats.m_avoidUntil = {};
--- a/modules/routing/tests/RoutingTest.cpp
+++ b/modules/routing/tests/RoutingTest.cpp
@@ -104,7 +104,7 @@
   NoteFailure(state, "east-a1", kNow, random);
   CHECK(state.m_targets["east-a1"].m_avoidUntil > first);
   CHECK(state.m_targets["east-a1"].m_avoidUntil - kNow <= 5000);
-  NoteAnswer(state, "east-a1", 900, 400, {}, kNow);
+  NoteAnswer(state, "east-a1", { .m_latencyUs = 900, .m_heldUs = 400 }, {}, kNow);
   CHECK(CountPicks(candidates, state)["east-a1"] > 0);
   CHECK(state.m_targets["east-a1"].m_outstanding == 0);
 }
@@ -351,6 +351,35 @@
   CHECK(domainOf(90) == "east-b");
 }
 
+TEST_CASE("a target that runs long requests is not slow for short ones")
+{
+  auto candidates = SixTargets();
+  candidates.resize(2);
+  PickState state;
+  constexpr double kShortUs = 26'000;
+  constexpr double kLongUs = 300'000;
+  const auto answer = [&](const char* aNode, double aRanUs, double aUsualUs, double aMixedUs) {
+    for (int i = 0; i < 20; ++i) {
+      NoteDispatch(state, aNode);
+      const auto ran = static_cast<std::int64_t>(aRanUs);
+      NoteAnswer(
+        state,
+        aNode,
+        { .m_latencyUs = ran + 500, .m_heldUs = ran, .m_ranUs = ran, .m_usualUs = aUsualUs },
+        { .m_load = 0, .m_serviceUs = static_cast<std::uint32_t>(aMixedUs) },
+        kNow);
+    }
+  };
+  answer("east-a1", kLongUs, kLongUs, kLongUs);
+  answer("east-a2", kShortUs, kShortUs, kShortUs);
+  auto counts = CountPicks(candidates, state);
+  CHECK(counts["east-a1"] > kPicks / 4);
+  CHECK(counts["east-a2"] > kPicks / 4);
+  // One that takes longer than others over the same requests is slow for all.
+  answer("east-a2", 3 * kShortUs, kShortUs, kLongUs);
+  CHECK(CountPicks(candidates, state)["east-a1"] == kPicks);
+}
+
 TEST_CASE("a slow target is left to wait for others' queues")
 {
   auto candidates = SixTargets();
@@ -358,6 +387,9 @@
   PickState state;
   state.m_targets["east-a1"].m_serviceUs = 500'000;
   state.m_targets["east-a2"].m_serviceUs = 100'000;
+  // Requests usually run 300 ms, so 500 ms and 100 ms there.
+  state.m_targets["east-a1"].m_slowness = 5.0 / 3;
+  state.m_targets["east-a2"].m_slowness = 1.0 / 3;
   CHECK(CountPicks(candidates, state)["east-a2"] == kPicks);
   state.m_targets["east-a2"].m_reported = 60;
   state.m_targets["east-a2"].m_reportedAt = kNow;
--- a/modules/wire/include/Messages_generated.h
+++ b/modules/wire/include/Messages_generated.h
@@ -3023,6 +3023,7 @@
   bool timed_out = false;
   uint32_t held_us = 0;
   uint32_t service_us = 0;
+  uint32_t ran_us = 0;
   AnswerT() = default;
   AnswerT(const AnswerT &o);
   AnswerT(AnswerT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3046,7 +3047,8 @@
     VT_RETRY_AFTER_MS = 22,
     VT_TIMED_OUT = 24,
     VT_HELD_US = 26,
-    VT_SERVICE_US = 28
+    VT_SERVICE_US = 28,
+    VT_RAN_US = 30
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -3092,6 +3094,10 @@
   uint32_t service_us() const {
     return GetField<uint32_t>(VT_SERVICE_US, 0);
   }
+  /// How long this request was at the target, in microseconds; 0 if it was not.
+  uint32_t ran_us() const {
+    return GetField<uint32_t>(VT_RAN_US, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -3111,6 +3117,7 @@
            VerifyField<uint8_t>(verifier, VT_TIMED_OUT, 1) &&
            VerifyField<uint32_t>(verifier, VT_HELD_US, 4) &&
            VerifyField<uint32_t>(verifier, VT_SERVICE_US, 4) &&
+           VerifyField<uint32_t>(verifier, VT_RAN_US, 4) &&
            verifier.EndTable();
   }
   AnswerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3161,6 +3168,9 @@
   void add_service_us(uint32_t service_us) {
     fbb_.AddElement<uint32_t>(Answer::VT_SERVICE_US, service_us, 0);
   }
+  void add_ran_us(uint32_t ran_us) {
+    fbb_.AddElement<uint32_t>(Answer::VT_RAN_US, ran_us, 0);
+  }
   explicit AnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3186,9 +3196,11 @@
     uint32_t retry_after_ms = 0,
     bool timed_out = false,
     uint32_t held_us = 0,
-    uint32_t service_us = 0) {
+    uint32_t service_us = 0,
+    uint32_t ran_us = 0) {
   AnswerBuilder builder_(_fbb);
   builder_.add_id(id);
+  builder_.add_ran_us(ran_us);
   builder_.add_service_us(service_us);
   builder_.add_held_us(held_us);
   builder_.add_retry_after_ms(retry_after_ms);
@@ -3223,7 +3235,8 @@
     uint32_t retry_after_ms = 0,
     bool timed_out = false,
     uint32_t held_us = 0,
-    uint32_t service_us = 0) {
+    uint32_t service_us = 0,
+    uint32_t ran_us = 0) {
   auto reason__ = reason ? _fbb.CreateString(reason) : 0;
   auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<sequoiastep::wire::Header>>(*headers) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
@@ -3241,7 +3254,8 @@
       retry_after_ms,
       timed_out,
       held_us,
-      service_us);
+      service_us,
+      ran_us);
 }
 
 flatbuffers::Offset<Answer> CreateAnswer(flatbuffers::FlatBufferBuilder &_fbb, const AnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4497,7 +4511,8 @@
         retry_after_ms(o.retry_after_ms),
         timed_out(o.timed_out),
         held_us(o.held_us),
-        service_us(o.service_us) {
+        service_us(o.service_us),
+        ran_us(o.ran_us) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new sequoiastep::wire::HeaderT(*headers_) : nullptr); }
 }
@@ -4516,6 +4531,7 @@
   std::swap(timed_out, o.timed_out);
   std::swap(held_us, o.held_us);
   std::swap(service_us, o.service_us);
+  std::swap(ran_us, o.ran_us);
   return *this;
 }
 
@@ -4541,6 +4557,7 @@
   { auto _e = timed_out(); _o->timed_out = _e; }
   { auto _e = held_us(); _o->held_us = _e; }
   { auto _e = service_us(); _o->service_us = _e; }
+  { auto _e = ran_us(); _o->ran_us = _e; }
 }
 
 inline flatbuffers::Offset<Answer> Answer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4564,6 +4581,7 @@
   auto _timed_out = _o->timed_out;
   auto _held_us = _o->held_us;
   auto _service_us = _o->service_us;
+  auto _ran_us = _o->ran_us;
   return sequoiastep::wire::CreateAnswer(
       _fbb,
       _id,
@@ -4578,7 +4596,8 @@
       _retry_after_ms,
       _timed_out,
       _held_us,
-      _service_us);
+      _service_us,
+      _ran_us);
 }
 
 inline CancelT *Cancel::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
