Try new targets from nodes near them, seldom from other regions

Now the share depends on the place: 0.05 in the own failure domain, 0.01 in the region, 0.001 across. Test: RoutingTest, a new target is tried soon by nodes near it and seldom by those far away (fails before: 244 of 3,000 picks cross).

--- a/modules/routing/src/Picker.cpp
+++ b/modules/routing/src/Picker.cpp
@@ -32,8 +32,9 @@
 // Equal costs are told apart by chance, so that nodes with the same view do not all pick the same.
 constexpr double kNoiseMs = 2;
 constexpr double kNoiseShare = 0.1;
-// How often a target that never answered this node is tried for what it may be worth.
-constexpr double kExploreShare = 0.05;
+// How often a target that never answered this node is tried for what it may be worth, by its place:
+// nodes near it try it soon, and its bytes cost those far away.
+constexpr std::array<double, 3> kExploreShares{ 0.05, 0.01, 0.001 };
 constexpr double kExploreMostKilobytes = 16;
 constexpr Milliseconds kExploreUntilMs = 20'000;
 // Time within this share of the objective counts by the weight only.
@@ -54,7 +55,8 @@
   /// The part of the cost that is guessed rather than known.
   double m_guessedMs = 0;
   bool m_trusted = true;
-  bool m_unknown = false;
+  /// How often it is picked for what it may be worth.
+  double m_exploreShare = 0;
 };
 
 const TargetStats&
@@ -121,7 +123,8 @@
                                   aRequest.m_objectiveMs),
            .m_guessedMs = way + wait,
            .m_trusted = !aCandidate.m_suspect && aNow >= stats.m_avoidUntil,
-           .m_unknown = IsNew(aCandidate, stats, aNow) };
+           .m_exploreShare =
+             IsNew(aCandidate, stats, aNow) ? kExploreShares[static_cast<std::size_t>(place)] : 0 };
 }
 
 // What a request usually takes at the service's targets.
@@ -262,8 +265,8 @@
   }
   DropDistrusted(ranked);
   for (const Ranked& one : ranked) {
-    if (one.m_unknown && aRequest.m_kilobytes < kExploreMostKilobytes &&
-        aRandom.Unit() < kExploreShare) {
+    if (one.m_exploreShare > 0 && aRequest.m_kilobytes < kExploreMostKilobytes &&
+        aRandom.Unit() < one.m_exploreShare) {
       return one.m_index;
     }
   }
--- a/modules/routing/tests/RoutingTest.cpp
+++ b/modules/routing/tests/RoutingTest.cpp
@@ -351,6 +351,20 @@
   CHECK(domainOf(90) == "east-b");
 }
 
+TEST_CASE("a new target is tried soon by nodes near it and seldom by those far away")
+{
+  auto candidates = SixTargets();
+  for (Candidate& candidate : candidates) {
+    candidate.m_upSince = kNow;
+  }
+  PickState state;
+  state.m_targets["east-a1"].m_latencyUs = 50'000;
+  auto counts = CountPicks(candidates, state);
+  CHECK(counts["east-a2"] > kPicks / 50);
+  CHECK(counts["east-b1"] + counts["east-b2"] > 0);
+  CHECK(counts["west-a1"] + counts["west-a2"] < kPicks / 100);
+}
+
 TEST_CASE("a target that runs long requests is not slow for short ones")
 {
   auto candidates = SixTargets();
