Take nothing more from a pipelining connection once it is to close

Cause: a connection with a request in progress stayed open while a stop closed the others, and each further request that came before the answer kept it open: a client that always pipelines kept its connection to the end of the process. Now what comes behind the last answer is read and dropped; that answer says close, so the client sends it again. Test: HttpTest, a client that never stops pipelining can't keep its connection (fails before).

--- a/modules/net/src/HttpServer.cpp
+++ b/modules/net/src/HttpServer.cpp
@@ -259,6 +259,9 @@
     if (connection.m_closing || connection.m_gone) {
       break;
     }
+    if (aState->m_ending && !connection.m_exchanges.empty() && request) {
+      continue; // It lies behind the response that will close: the client sends it again.
+    }
     if (!request && !IsBadRequest(error)) {
       CancelAll(connection);
       break;
--- a/modules/net/tests/HttpTest.cpp
+++ b/modules/net/tests/HttpTest.cpp
@@ -228,6 +228,25 @@
   CHECK(text.find("\r\n\r\n/a") != std::string::npos);
 }
 
+TEST_CASE("while connections end, a client that never stops pipelining can't keep its connection")
+{
+  asio::io_context context;
+  HeldServer server(context);
+  tcp::socket client(context);
+  client.connect(server.m_endpoint);
+  asio::write(client, asio::buffer(std::string("GET /a HTTP/1.1\r\nHost: h\r\n\r\n")));
+  REQUIRE(RunUntil(context, [&] { return server.m_started.size() == 1; }));
+  server.m_server.EndConnections();
+  asio::write(client, asio::buffer(std::string("GET /b HTTP/1.1\r\nHost: h\r\n\r\n")));
+  // Long enough for the second request to be read.
+  RunUntil(context, [turns = 0]() mutable { return ++turns > 50; });
+  server.Answer("/a");
+  const std::string text = Received(context, client, "/a");
+  CHECK(text.find("Connection: close") != std::string::npos);
+  // What comes behind the response that closes was not taken: the client sends it again.
+  CHECK(server.m_started == std::vector<std::string>{ "/a" });
+}
+
 TEST_CASE("a connection is used again after a whole answer of the request's own")
 {
   asio::io_context context(1);
