Watch the links between nodes while calls wait on them

Cause: a link whose peer froze or was cut off closes nothing: calls on it waited to their deadline, and links had no TCP time-out either. Now a link that has been quiet for 250 ms is asked (Probe) when a call is sent or waits; any bytes count as an answer. After 150 ms new calls go elsewhere, after 300 ms the calls that may be repeated are, and the link is opened anew. A call that may run only once is sent only on a link that showed life, so it is not lost on one that is dead (not run, free to go elsewhere). A call waits 500 ms for a link that is being opened. A target that came up after it was avoided is trusted at once.

--- a/modules/net/include/SocketOptions.h
+++ b/modules/net/include/SocketOptions.h
@@ -11,4 +11,8 @@
 void
 SetLiveness(tcp::socket& aSocket, std::int64_t aSilenceMs);
 
+/// Breaks a connection when nothing that was sent was acknowledged for aSilenceMs.
+void
+SetSendTimeout(tcp::socket& aSocket, std::int64_t aSilenceMs);
+
 } // namespace sequoiastep::net
--- a/modules/net/src/FrameConnection.cpp
+++ b/modules/net/src/FrameConnection.cpp
@@ -1,6 +1,7 @@
 #include "FrameConnection.h"
 
 #include "Log.h"
+#include "SocketOptions.h"
 
 #include <boost/asio/write.hpp>
 #include <chrono>
@@ -14,6 +15,8 @@
 constexpr std::size_t kReadBytes = 64U << 10;
 constexpr std::size_t kKeptWriteBytes = 16U << 10;
 constexpr std::size_t kMaxBacklogBytes = 48U << 20;
+// A peer that acknowledges nothing for this long is gone, also if it closed nothing.
+constexpr std::int64_t kSilenceMs = 3000;
 
 } // namespace
 
@@ -148,6 +151,7 @@
   error_code ignored;
   m_state->m_socket.set_option(tcp::no_delay(true), ignored);
   m_state->m_socket.non_blocking(true, ignored);
+  SetSendTimeout(m_state->m_socket, kSilenceMs);
 }
 
 FrameConnection::~FrameConnection()
--- a/modules/net/src/SocketOptions.cpp
+++ b/modules/net/src/SocketOptions.cpp
@@ -14,13 +14,20 @@
 
 } // namespace
 
+void
+SetSendTimeout(tcp::socket& aSocket, std::int64_t aSilenceMs)
+{
+  using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
+  error_code ignored;
+  aSocket.set_option(UserTimeout(static_cast<int>(aSilenceMs)), ignored);
+}
+
 void
 SetLiveness(tcp::socket& aSocket, std::int64_t aSilenceMs)
 {
   using ProbeAfter = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPIDLE>;
   using ProbeEvery = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPINTVL>;
   using ProbeCount = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_KEEPCNT>;
-  using UserTimeout = asio::detail::socket_option::integer<IPPROTO_TCP, TCP_USER_TIMEOUT>;
   const auto probeSeconds =
     static_cast<int>(std::max<std::int64_t>(1, aSilenceMs / kSecondMs / (kProbes + 1)));
   error_code ignored;
@@ -29,7 +36,7 @@
   aSocket.set_option(ProbeAfter(probeSeconds), ignored);
   aSocket.set_option(ProbeEvery(probeSeconds), ignored);
   aSocket.set_option(ProbeCount(kProbes), ignored);
-  aSocket.set_option(UserTimeout(static_cast<int>(aSilenceMs)), ignored);
+  SetSendTimeout(aSocket, aSilenceMs);
 }
 
 } // namespace sequoiastep::net
--- a/modules/node/src/CallLinks.cpp
+++ b/modules/node/src/CallLinks.cpp
@@ -1,8 +1,12 @@
 #include "CallLinks.h"
 
+#include "LinkWatch.h"
 #include "Log.h"
 
+#include <algorithm>
 #include <chrono>
+#include <set>
+#include <vector>
 
 namespace sequoiastep::node {
 
@@ -12,35 +16,37 @@
 
 namespace {
 
-constexpr std::int64_t kMostConnectMs = 1500;
+// A call waits this long for a link that is being opened; it may be tried elsewhere meanwhile.
+constexpr Milliseconds kConnectWaitMs = 500;
+constexpr Milliseconds kReviewMs = 50;
 
 } // namespace
 
 // One call that waits for its answer. The timer ends the wait.
 struct CallLinks::Pending
 {
-  Pending(asio::io_context& aContext, std::int64_t aTimeoutMs)
+  Pending(asio::io_context& aContext, std::int64_t aTimeoutMs, bool aRepeatable)
     : m_timer(aContext, std::chrono::milliseconds(aTimeoutMs))
+    , m_repeatable(aRepeatable)
   {
   }
 
   asio::steady_timer m_timer;
+  bool m_repeatable;
   CallReply m_reply{ .m_kind = CallReply::Kind::TimedOut, .m_answer = {} };
 };
 
 // The link to one node, from the first wish to call it.
 struct CallLinks::Link
 {
-  explicit Link(asio::io_context& aContext)
-    : m_connected(aContext, std::chrono::milliseconds(kMostConnectMs))
-  {
-  }
-
-  /// Waited for while connecting; cancelled when that ended.
-  asio::steady_timer m_connected;
   bool m_connecting = true;
   std::unique_ptr<net::FrameConnection> m_connection;
   std::map<std::uint64_t, Pending*> m_pending;
+  routing::LinkWatch m_watch;
+  /// Bytes that had come when the link was last looked at.
+  std::uint64_t m_bytesSeen = 0;
+  /// Calls that wait for the connection, or for a sign of life, before they are sent.
+  std::set<asio::steady_timer*> m_waiters;
 };
 
 CallLinks::CallLinks(asio::io_context& aContext, Identity aIdentity, Shared& aShared)
@@ -58,6 +64,7 @@
   aLink->m_connecting = false;
   if (connection && hello.node == aNode && !m_stopped) {
     aLink->m_connection = std::move(connection);
+    routing::NoteHeard(aLink->m_watch, Clock::Now());
     aLink->m_connection->Start(
       [this, weak = std::weak_ptr<Link>(aLink)](wire::EnvelopeT aMessage) {
         if (const LinkPtr link = weak.lock()) {
@@ -83,7 +90,7 @@
       m_links.erase(found);
     }
   }
-  aLink->m_connected.cancel();
+  Wake(*aLink);
 }
 
 Awaitable<CallLinks::LinkPtr>
@@ -91,35 +98,99 @@
 {
   LinkPtr& place = m_links[aNode];
   if (!place) {
-    place = std::make_shared<Link>(m_context);
+    place = std::make_shared<Link>();
     asio::co_spawn(m_context, Connect(place, aNode, aAddress), asio::detached);
   }
   const LinkPtr link = place;
   if (link->m_connecting) {
-    asio::steady_timer limit(m_context, std::chrono::milliseconds(aTimeoutMs));
-    limit.async_wait([link](const net::error_code& aError) {
-      if (!aError) {
-        link->m_connected.cancel();
-      }
-    });
-    co_await link->m_connected.async_wait(kAsTuple);
+    co_await Wait(link, std::min<Milliseconds>(aTimeoutMs, kConnectWaitMs));
   }
   const bool open = link->m_connection && link->m_connection->IsOpen();
   co_return open ? link : nullptr;
 }
 
+// Waits until the link is woken, for aMostMs at most.
+Awaitable<void>
+CallLinks::Wait(LinkPtr aLink, Milliseconds aMostMs)
+{
+  asio::steady_timer timer(m_context, std::chrono::milliseconds(aMostMs));
+  struct Forget
+  {
+    Link& m_link;
+    asio::steady_timer* m_timer;
+    ~Forget() { m_link.m_waiters.erase(m_timer); }
+  };
+  aLink->m_waiters.insert(&timer);
+  const Forget forget{ .m_link = *aLink, .m_timer = &timer };
+  co_await timer.async_wait(kAsTuple);
+}
+
+void
+CallLinks::Wake(Link& aLink)
+{
+  for (asio::steady_timer* waiter : aLink.m_waiters) {
+    waiter->cancel();
+  }
+}
+
+// Any bytes show that the peer lives, also those of a large answer that is not whole yet.
+void
+CallLinks::NoteBytes(Link& aLink, Instant aNow)
+{
+  const std::uint64_t received = aLink.m_connection->Bytes().m_received;
+  if (received != aLink.m_bytesSeen) {
+    aLink.m_bytesSeen = received;
+    routing::NoteHeard(aLink.m_watch, aNow);
+  }
+}
+
+void
+CallLinks::Ask(Link& aLink)
+{
+  routing::NoteAsked(aLink.m_watch, Clock::Now());
+  aLink.m_connection->Send(wire::EncodeFrame(wire::MakeEnvelope(wire::ProbeT())));
+}
+
+// Waits for a sign of life on a link that has been quiet. Without one nothing is sent, so that the
+// call certainly does not run there.
+Awaitable<bool>
+CallLinks::Prove(LinkPtr aLink)
+{
+  if (routing::IsProven(aLink->m_watch, Clock::Now())) {
+    co_return true;
+  }
+  co_await Wait(aLink, routing::kLinkSilentMs);
+  co_return routing::IsProven(aLink->m_watch, Clock::Now());
+}
+
 Awaitable<CallReply>
 CallLinks::Call(std::string aNode, std::string aAddress, wire::CallT aCall, std::int64_t aTimeoutMs)
 {
   const LinkPtr link = co_await Ready(aNode, aAddress, aTimeoutMs);
-  if (!link) {
+  if (link) {
+    NoteBytes(*link, Clock::Now());
+  }
+  if (!link || routing::IsDoubtful(link->m_watch, Clock::Now())) {
     co_return CallReply{ .m_kind = CallReply::Kind::NotSent, .m_answer = {} };
   }
+  if (routing::NeedsQuestion(link->m_watch, Clock::Now())) {
+    Ask(*link);
+  }
+  if (!aCall.repeatable) {
+    const bool proven = co_await Prove(link);
+    if (!proven || !link->m_connection->IsOpen()) {
+      co_return CallReply{ .m_kind = CallReply::Kind::NotSent, .m_answer = {} };
+    }
+  }
   aCall.id = m_nextId++;
   aCall.sent_ms = Clock::Now().m_ms;
   const std::uint64_t id = aCall.id;
-  Pending pending(m_context, aTimeoutMs);
+  Pending pending(m_context, aTimeoutMs, aCall.repeatable);
   link->m_pending.emplace(id, &pending);
+  if (!m_watching) {
+    m_watching = true;
+    asio::co_spawn(m_context, WatchLoop(), asio::detached);
+  }
   // Runs however this coroutine ends, destruction by cancellation included.
   struct Cleanup
   {
@@ -143,6 +214,8 @@
 void
 CallLinks::Receive(const LinkPtr& aLink, wire::EnvelopeT aMessage)
 {
+  routing::NoteHeard(aLink->m_watch, Clock::Now());
+  Wake(*aLink);
   if (aMessage.body.type != wire::Body::Answer) {
     return;
   }
@@ -166,12 +239,75 @@
   if (found != m_links.end() && found->second == aLink) {
     m_links.erase(found);
   }
-  const auto pending = std::move(aLink->m_pending);
-  aLink->m_pending.clear();
+  EndCalls(aLink, true);
+  Wake(*aLink);
+}
+
+// Ends the calls that wait on a link from which no answer will come; those that may run only once
+// only if aOnceToo.
+void
+CallLinks::EndCalls(const LinkPtr& aLink, bool aOnceToo)
+{
+  const auto pending = aLink->m_pending;
   for (const auto& [id, call] : pending) {
-    call->m_reply.m_kind = CallReply::Kind::LinkBroken;
-    call->m_timer.cancel();
+    if (aOnceToo || call->m_repeatable) {
+      aLink->m_pending.erase(id);
+      call->m_reply.m_kind = CallReply::Kind::LinkBroken;
+      call->m_timer.cancel();
+    }
+  }
+}
+
+// The peer froze or was cut off, or the connection alone went dead. The next call opens a new one;
+// what may run only once waits on, since its answer may still come.
+void
+CallLinks::GiveUp(const std::string& aNode, LinkPtr aLink)
+{
+  LogLine(LogLevel::Info, "call_link_silent", aNode)
+    .Add("peer", aNode)
+    .Add("heard_ms_ago", Clock::Now() - aLink->m_watch.m_heardAt)
+    .Add("waiting_calls", aLink->m_pending.size());
+  m_links.erase(aNode);
+  for (const auto& [id, call] : aLink->m_pending) {
+    if (call->m_repeatable) {
+      wire::CancelT cancel;
+      cancel.id = id;
+      aLink->m_connection->Send(wire::EncodeFrame(wire::MakeEnvelope(std::move(cancel))));
+    }
+  }
+  EndCalls(aLink, false);
+}
+
+void
+CallLinks::ReviewLinks(Instant aNow)
+{
+  std::vector<std::string> silent;
+  for (const auto& [node, link] : m_links) {
+    if (!link->m_connection || (link->m_pending.empty() && link->m_waiters.empty())) {
+      continue;
+    }
+    NoteBytes(*link, aNow);
+    if (routing::IsSilent(link->m_watch, aNow)) {
+      silent.push_back(node);
+    } else if (routing::NeedsQuestion(link->m_watch, aNow)) {
+      Ask(*link);
+    }
   }
+  for (const std::string& node : silent) {
+    GiveUp(node, m_links.at(node));
+  }
+}
+
+Awaitable<void>
+CallLinks::WatchLoop()
+{
+  const auto waits = [](const auto& aItem) { return !aItem.second->m_pending.empty(); };
+  do {
+    asio::steady_timer timer(m_context, std::chrono::milliseconds(kReviewMs));
+    co_await timer.async_wait(kAsTuple);
+    ReviewLinks(Clock::Now());
+  } while (!m_stopped && std::any_of(m_links.begin(), m_links.end(), waits));
+  m_watching = false;
 }
 
 void
--- a/modules/node/src/CallLinks.h
+++ b/modules/node/src/CallLinks.h
@@ -23,7 +23,7 @@
     Answered,
     /// The node could not be reached: nothing of the call was sent.
     NotSent,
-    /// The link broke after the call was sent.
+    /// The link broke, or fell silent, after the call was sent.
     LinkBroken,
     /// No answer came in time.
     TimedOut,
@@ -61,12 +61,22 @@
   net::Awaitable<LinkPtr> Ready(std::string aNode, std::string aAddress, std::int64_t aTimeoutMs);
   void Receive(const LinkPtr& aLink, wire::EnvelopeT aMessage);
   void Break(const LinkPtr& aLink, const std::string& aNode);
+  net::Awaitable<void> Wait(LinkPtr aLink, Milliseconds aMostMs);
+  static void Wake(Link& aLink);
+  static void NoteBytes(Link& aLink, Instant aNow);
+  static void Ask(Link& aLink);
+  net::Awaitable<bool> Prove(LinkPtr aLink);
+  void EndCalls(const LinkPtr& aLink, bool aOnceToo);
+  void GiveUp(const std::string& aNode, LinkPtr aLink);
+  net::Awaitable<void> WatchLoop();
+  void ReviewLinks(Instant aNow);
 
   net::asio::io_context& m_context;
   Identity m_identity;
   Shared& m_shared;
   std::map<std::string, LinkPtr, std::less<>> m_links;
   std::uint64_t m_nextId = 1;
+  bool m_watching = false;
   bool m_stopped = false;
 };
 
--- a/modules/node/src/CallsDutyServe.cpp
+++ b/modules/node/src/CallsDutyServe.cpp
@@ -71,6 +71,12 @@
     }
     return;
   }
+  if (aMessage.body.type == wire::Body::Probe) {
+    wire::ProbeT answer;
+    answer.answer = true;
+    aInbound->m_connection->Send(wire::EncodeFrame(wire::MakeEnvelope(std::move(answer))));
+    return;
+  }
   if (aMessage.body.type != wire::Body::Call) {
     return;
   }
--- a/modules/routing/include/Picker.h
+++ b/modules/routing/include/Picker.h
@@ -75,6 +75,8 @@
   std::uint32_t m_failures = 0;
   /// It gets no call before this instant, unless there is no other.
   Instant m_avoidUntil;
+  /// When m_avoidUntil was set. A target that came up later is another one.
+  Instant m_avoidedAt;
 };
 
 /// Stats of all targets that this node has called.
--- a/modules/routing/src/Picker.cpp
+++ b/modules/routing/src/Picker.cpp
@@ -97,6 +97,12 @@
   return kCalmWeight * std::min(aTimeMs, calm) + std::max(0.0, aTimeMs - calm);
 }
 
+bool
+IsAvoided(const Candidate& aCandidate, const TargetStats& aStats, Instant aNow)
+{
+  return aNow < aStats.m_avoidUntil && aCandidate.m_upSince <= aStats.m_avoidedAt;
+}
+
 bool
 IsNew(const Candidate& aCandidate, const TargetStats& aStats, Instant aNow)
 {
@@ -122,7 +128,7 @@
                        LatenessMs(way + ServiceMs(aCandidate, stats, aUsualUs, aNow) + wait,
                                   aRequest.m_objectiveMs),
            .m_guessedMs = way + wait,
-           .m_trusted = !aCandidate.m_suspect && aNow >= stats.m_avoidUntil,
+           .m_trusted = !aCandidate.m_suspect && !IsAvoided(aCandidate, stats, aNow),
            .m_exploreShare =
              IsNew(aCandidate, stats, aNow) ? kExploreShares[static_cast<std::size_t>(place)] : 0 };
 }
@@ -316,6 +322,7 @@
     std::min(kAvoidMostMs, kAvoidLeastMs << std::min(stats.m_failures, kMostDoublings));
   const auto spread = static_cast<std::uint64_t>(most / 2 + 1);
   stats.m_avoidUntil = aNow + (most / 2 + static_cast<Milliseconds>(aRandom.Below(spread)));
+  stats.m_avoidedAt = aNow;
   ++stats.m_failures;
 }
 
--- a/modules/routing/tests/RoutingTest.cpp
+++ b/modules/routing/tests/RoutingTest.cpp
@@ -109,6 +109,18 @@
   CHECK(state.m_targets["east-a1"].m_outstanding == 0);
 }
 
+TEST_CASE("a target that came up after it was avoided is another one")
+{
+  auto candidates = SixTargets();
+  PickState state;
+  Random random{ 1 };
+  state.m_targets["east-a1"].m_failures = 6;
+  NoteFailure(state, "east-a1", kNow, random);
+  CHECK(CountPicks(candidates, state)["east-a1"] == 0);
+  candidates[0].m_upSince = kNow + 1;
+  CHECK(CountPicks(candidates, state)["east-a1"] > 0);
+}
+
 TEST_CASE("a target that was tried for a call is not tried again for it")
 {
   const auto candidates = SixTargets();
--- a/modules/wire/include/Messages_generated.h
+++ b/modules/wire/include/Messages_generated.h
@@ -104,6 +104,10 @@
 struct CancelBuilder;
 struct CancelT;
 
+struct Probe;
+struct ProbeBuilder;
+struct ProbeT;
+
 struct Envelope;
 struct EnvelopeBuilder;
 struct EnvelopeT;
@@ -306,11 +310,12 @@
   Cancel = 14,
   OperatorRecord = 15,
   OperatorPull = 16,
+  Probe = 17,
   MIN = NONE,
-  MAX = OperatorPull
+  MAX = Probe
 };
 
-inline const Body (&EnumValuesBody())[17] {
+inline const Body (&EnumValuesBody())[18] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -328,13 +333,14 @@
     Body::Answer,
     Body::Cancel,
     Body::OperatorRecord,
-    Body::OperatorPull
+    Body::OperatorPull,
+    Body::Probe
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[18] = {
+  static const char * const names[19] = {
     "NONE",
     "Hello",
     "Join",
@@ -352,13 +358,14 @@
     "Cancel",
     "OperatorRecord",
     "OperatorPull",
+    "Probe",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::OperatorPull)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::Probe)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -431,6 +438,10 @@
   static const Body enum_value = Body::OperatorPull;
 };
 
+template<> struct BodyTraits<sequoiastep::wire::Probe> {
+  static const Body enum_value = Body::Probe;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -499,6 +510,10 @@
   static const Body enum_value = Body::OperatorPull;
 };
 
+template<> struct BodyUnionTraits<sequoiastep::wire::ProbeT> {
+  static const Body enum_value = Body::Probe;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -657,6 +672,14 @@
     return type == Body::OperatorPull ?
       reinterpret_cast<const sequoiastep::wire::OperatorPullT *>(value) : nullptr;
   }
+  sequoiastep::wire::ProbeT *AsProbe() {
+    return type == Body::Probe ?
+      reinterpret_cast<sequoiastep::wire::ProbeT *>(value) : nullptr;
+  }
+  const sequoiastep::wire::ProbeT *AsProbe() const {
+    return type == Body::Probe ?
+      reinterpret_cast<const sequoiastep::wire::ProbeT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -3318,6 +3341,65 @@
 
 flatbuffers::Offset<Cancel> CreateCancel(flatbuffers::FlatBufferBuilder &_fbb, const CancelT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct ProbeT : public flatbuffers::NativeTable {
+  typedef Probe TableType;
+  bool answer = false;
+};
+
+/// Asks the peer to show that the link is alive, or answers such a question.
+struct Probe FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ProbeT NativeTableType;
+  typedef ProbeBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ANSWER = 4
+  };
+  bool answer() const {
+    return GetField<uint8_t>(VT_ANSWER, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_ANSWER, 1) &&
+           verifier.EndTable();
+  }
+  ProbeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ProbeT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Probe> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ProbeT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ProbeBuilder {
+  typedef Probe Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_answer(bool answer) {
+    fbb_.AddElement<uint8_t>(Probe::VT_ANSWER, static_cast<uint8_t>(answer), 0);
+  }
+  explicit ProbeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Probe> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Probe>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Probe> CreateProbe(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    bool answer = false) {
+  ProbeBuilder builder_(_fbb);
+  builder_.add_answer(answer);
+  return builder_.Finish();
+}
+
+struct Probe::Traits {
+  using type = Probe;
+  static auto constexpr Create = CreateProbe;
+};
+
+flatbuffers::Offset<Probe> CreateProbe(flatbuffers::FlatBufferBuilder &_fbb, const ProbeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct EnvelopeT : public flatbuffers::NativeTable {
   typedef Envelope TableType;
   sequoiastep::wire::BodyUnion body{};
@@ -3386,6 +3468,9 @@
   const sequoiastep::wire::OperatorPull *body_as_OperatorPull() const {
     return body_type() == sequoiastep::wire::Body::OperatorPull ? static_cast<const sequoiastep::wire::OperatorPull *>(body()) : nullptr;
   }
+  const sequoiastep::wire::Probe *body_as_Probe() const {
+    return body_type() == sequoiastep::wire::Body::Probe ? static_cast<const sequoiastep::wire::Probe *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -3462,6 +3547,10 @@
   return body_as_OperatorPull();
 }
 
+template<> inline const sequoiastep::wire::Probe *Envelope::body_as<sequoiastep::wire::Probe>() const {
+  return body_as_Probe();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -4626,6 +4715,32 @@
       _id);
 }
 
+inline ProbeT *Probe::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ProbeT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void Probe::UnPackTo(ProbeT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = answer(); _o->answer = _e; }
+}
+
+inline flatbuffers::Offset<Probe> Probe::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ProbeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateProbe(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<Probe> CreateProbe(flatbuffers::FlatBufferBuilder &_fbb, const ProbeT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ProbeT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _answer = _o->answer;
+  return sequoiastep::wire::CreateProbe(
+      _fbb,
+      _answer);
+}
+
 inline EnvelopeT *Envelope::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<EnvelopeT>();
   UnPackTo(_o.get(), _resolver);
@@ -4768,6 +4883,10 @@
       auto ptr = reinterpret_cast<const sequoiastep::wire::OperatorPull *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::Probe: {
+      auto ptr = reinterpret_cast<const sequoiastep::wire::Probe *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -4851,6 +4970,10 @@
       auto ptr = reinterpret_cast<const sequoiastep::wire::OperatorPull *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::Probe: {
+      auto ptr = reinterpret_cast<const sequoiastep::wire::Probe *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -4922,6 +5045,10 @@
       auto ptr = reinterpret_cast<const sequoiastep::wire::OperatorPullT *>(value);
       return CreateOperatorPull(_fbb, ptr, _rehasher).Union();
     }
+    case Body::Probe: {
+      auto ptr = reinterpret_cast<const sequoiastep::wire::ProbeT *>(value);
+      return CreateProbe(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -4992,6 +5119,10 @@
       value = new sequoiastep::wire::OperatorPullT(*reinterpret_cast<sequoiastep::wire::OperatorPullT *>(u.value));
       break;
     }
+    case Body::Probe: {
+      value = new sequoiastep::wire::ProbeT(*reinterpret_cast<sequoiastep::wire::ProbeT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -5079,6 +5210,11 @@
       delete ptr;
       break;
     }
+    case Body::Probe: {
+      auto ptr = reinterpret_cast<sequoiastep::wire::ProbeT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/modules/wire/src/Frame.cpp
+++ b/modules/wire/src/Frame.cpp
@@ -23,7 +23,8 @@
 bool
 IsCallMessage(Body aType)
 {
-  return aType == Body::Call || aType == Body::Answer || aType == Body::Cancel;
+  return aType == Body::Call || aType == Body::Answer || aType == Body::Cancel ||
+         aType == Body::Probe;
 }
 
 void
