Leave out headers that a message's Connection header names

Cause: only a fixed list of headers was kept to one connection; those that the sender names there travelled on (RFC 9110, 7.6.1). Found on reading. Test: HeadersTest, headers of one connection are not sent on, those that it names included (fails before).

--- a/modules/node/src/Headers.cpp
+++ b/modules/node/src/Headers.cpp
@@ -6,6 +6,7 @@
 #include <array>
 #include <boost/beast/core/string.hpp>
 #include <boost/beast/http/message.hpp>
+#include <boost/beast/http/rfc7230.hpp>
 
 namespace sequoiastep::node {
 
@@ -45,9 +46,11 @@
 HeaderList
 EndToEndHeaders(const net::http::fields& aFields)
 {
+  // The sender may name further headers that concern its connection only.
+  net::http::token_list named(aFields[net::http::field::connection]);
   HeaderList headers;
   for (const auto& field : aFields) {
-    if (IsHopHeader(field.name_string())) {
+    if (IsHopHeader(field.name_string()) || named.exists(field.name_string())) {
       continue;
     }
     auto header = std::make_unique<wire::HeaderT>();
