End a call so that its answer reaches the caller while it still waits

Cause: the answer that a call had run out of time left at the caller's deadline, or 33 ms after it (elapsed_ms and left_ms of request_failed): the caller had gone and saw no answer. Now a call ends 45 ms earlier than the caller says it waits, or a tenth of the wait if that is less. Test: RoutingTest, a call ends so that its answer reaches the caller while it still waits.

--- a/modules/node/src/CallsDutyRoute.cpp
+++ b/modules/node/src/CallsDutyRoute.cpp
@@ -32,6 +32,8 @@
 
 // The node beside the target keeps the deadline itself; its answer is truer than a timeout here.
 constexpr Milliseconds kAnswerGraceMs = 30;
+// More than any caller waits.
+constexpr std::uint64_t kLongestWaitMs = 86'400'000;
 constexpr std::uint32_t kFirstServerError = 500;
 // When a caller that was turned away may come back, if nothing tells better.
 constexpr Milliseconds kRetryAfterLeastMs = 150;
@@ -71,12 +73,15 @@
 Milliseconds
 TimeLeft(const HttpRequest& aRequest, const config::Route& aRoute)
 {
-  std::uint64_t left = aRoute.m_timeoutMs;
+  auto left = static_cast<Milliseconds>(aRoute.m_timeoutMs);
   for (const std::string_view name :
        { std::string_view("Sequoiastep-Timeout-Ms"), adapter::kDeadlineMs }) {
-    left = std::min(left, NumberHeader(aRequest, name).value_or(left));
+    if (const auto waits = NumberHeader(aRequest, name)) {
+      const auto most = std::min<std::uint64_t>(*waits, kLongestWaitMs);
+      left = std::min(left, routing::TimeForCall(static_cast<Milliseconds>(most)));
+    }
   }
-  return static_cast<Milliseconds>(left);
+  return left;
 }
 
 bool
--- a/modules/routing/include/Retry.h
+++ b/modules/routing/include/Retry.h
@@ -77,6 +77,11 @@
 void
 ReturnRepeat(RetryBudget& aBudget, Instant aNow);
 
+/// @param aCallerWaitsMs how long the caller says it will wait.
+/// @return how long the call may take here, so that its answer reaches the caller in that time.
+Milliseconds
+TimeForCall(Milliseconds aCallerWaitsMs);
+
 /// One call that may be tried again.
 struct RetryQuestion
 {
--- a/modules/routing/src/Retry.cpp
+++ b/modules/routing/src/Retry.cpp
@@ -11,6 +11,10 @@
 
 constexpr Milliseconds kLeastLeftMs = 5;
 constexpr Milliseconds kSpanMs = 500;
+// What an answer needs to reach its caller, that of another node on its way here included.
+constexpr Milliseconds kAnswerWayMs = 45;
+// A short wait gives up no more than one of this many parts.
+constexpr Milliseconds kAnswerWayParts = 10;
 
 constexpr std::array<NameRow<AttemptOutcome>, 6> kOutcomeNames{ {
   { AttemptOutcome::Done, "done" },
@@ -155,6 +159,12 @@
   return std::max(0.0, sums.m_allowed - sums.m_repeats);
 }
 
+Milliseconds
+TimeForCall(Milliseconds aCallerWaitsMs)
+{
+  return aCallerWaitsMs - std::min(kAnswerWayMs, aCallerWaitsMs / kAnswerWayParts);
+}
+
 RetryVerdict
 MayRetry(RetryBudget& aBudget, const RetryQuestion& aQuestion, Instant aNow)
 {
--- a/modules/routing/tests/RoutingTest.cpp
+++ b/modules/routing/tests/RoutingTest.cpp
@@ -451,6 +451,15 @@
   CHECK(verdict(AttemptOutcome::NotRun, config::Repeat::Safe, 1, 1) == RetryVerdict::StopNoTime);
 }
 
+TEST_CASE("a call ends so that its answer reaches the caller while it still waits")
+{
+  CHECK(TimeForCall(1500) <= 1500 - 40);
+  CHECK(TimeForCall(1500) >= 1500 - 60);
+  CHECK(TimeForCall(100) == 90);
+  CHECK(TimeForCall(1) == 1);
+  CHECK(TimeForCall(0) == 0);
+}
+
 TEST_CASE("a call goes to no more targets than its route allows")
 {
   RetryBudget budget;
