--- a/modules/cli/src/Explain.cpp
+++ b/modules/cli/src/Explain.cpp
@@ -126,6 +126,7 @@
     place = place == nullptr || place->m_timeMs <= record.m_timeMs ? &record : place;
   }
   std::vector<LogRecord> states;
+  states.reserve(latest.size());
   for (const auto& [key, record] : latest) {
     states.push_back(*record);
   }
--- a/modules/node/src/CallLinks.cpp
+++ b/modules/node/src/CallLinks.cpp
@@ -261,7 +261,7 @@
 // The peer froze or was cut off, or the connection alone went dead. The next call opens a new one;
 // what may run only once waits on, since its answer may still come.
 void
-CallLinks::GiveUp(const std::string& aNode, LinkPtr aLink)
+CallLinks::GiveUp(const std::string& aNode, const LinkPtr& aLink)
 {
   LogLine(LogLevel::Info, "call_link_silent", aNode)
     .Add("peer", aNode)
@@ -294,7 +294,8 @@
     }
   }
   for (const std::string& node : silent) {
-    GiveUp(node, m_links.at(node));
+    const LinkPtr link = m_links.at(node); // GiveUp forgets the one in the map.
+    GiveUp(node, link);
   }
 }
 
--- a/modules/node/src/CallLinks.h
+++ b/modules/node/src/CallLinks.h
@@ -67,7 +67,7 @@
   static void Ask(Link& aLink);
   net::Awaitable<bool> Prove(LinkPtr aLink);
   void EndCalls(const LinkPtr& aLink, bool aOnceToo);
-  void GiveUp(const std::string& aNode, LinkPtr aLink);
+  void GiveUp(const std::string& aNode, const LinkPtr& aLink);
   net::Awaitable<void> WatchLoop();
   void ReviewLinks(Instant aNow);
 
