Notice a client that leaves after a request that closes its connection

Cause: after a request with Connection: close nothing more was read, so that its client's leaving went unnoticed and the request ran on. Now reading goes on; what comes behind such a request is dropped, since its answer closes the connection. Test: HttpTest, a client that leaves ends its request, also if it said that the connection closes (fails before).

--- a/modules/net/src/HttpServer.cpp
+++ b/modules/net/src/HttpServer.cpp
@@ -246,6 +246,15 @@
   aConnection.m_answered.Wake();
 }
 
+// True if the last response in progress will close the connection. Reading goes on, to notice a
+// client that leaves.
+bool
+TakesNoMore(const HttpServerState& aState, const Connection& aConnection)
+{
+  return !aConnection.m_exchanges.empty() &&
+         (aState.m_ending || !aConnection.m_exchanges.back()->m_clientKeeps);
+}
+
 Awaitable<void>
 ReadLoop(StatePtr aState, ConnectionPtr aConnection)
 {
@@ -259,7 +268,7 @@
     if (connection.m_closing || connection.m_gone) {
       break;
     }
-    if (aState->m_ending && !connection.m_exchanges.empty() && request) {
+    if (request && TakesNoMore(*aState, connection)) {
       continue; // It lies behind the response that will close: the client sends it again.
     }
     if (!request && !IsBadRequest(error)) {
@@ -275,11 +284,7 @@
       break;
     }
     exchange->m_clientKeeps = request->keep_alive();
-    const bool last = !exchange->m_clientKeeps;
     StartHandler(aState, aConnection, exchange, std::move(*request));
-    if (last) {
-      break;
-    }
   }
   connection.m_readerDone = true;
   connection.m_answered.Wake();
--- a/modules/net/tests/HttpTest.cpp
+++ b/modules/net/tests/HttpTest.cpp
@@ -213,6 +213,21 @@
   CHECK(RunUntil(context, [&] { return server.m_server.Connections() == 0; }));
 }
 
+TEST_CASE("a client that leaves ends its request, also if it said that the connection closes")
+{
+  asio::io_context context(1);
+  HeldServer server(context);
+  {
+    tcp::socket client(context);
+    client.connect(server.m_endpoint);
+    const std::string request = "GET /a HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n";
+    asio::write(client, asio::buffer(request));
+    REQUIRE(RunUntil(context, [&] { return server.m_started.size() == 1; }));
+  }
+  CHECK(RunUntil(context, [&] { return server.m_ended.size() == 1; }));
+  CHECK(RunUntil(context, [&] { return server.m_server.Connections() == 0; }));
+}
+
 TEST_CASE("while connections end, a request that was read is answered and told to close")
 {
   asio::io_context context(1);
