Log and count what targets say of their limit and their leaving

Callers saw nothing; on-call could not tell whether a node knew of a limit: no line, no metric. The headers are decoded in platform/, a pure record (routing, TargetNotice) holds what is in force for one incarnation, event=target_notice tells each change, the metrics sequoiastep_target_limit_per_second and sequoiastep_target_leaving the state. No decision uses it yet.

--- a/modules/node/src/CallProxyMetrics.cpp
+++ b/modules/node/src/CallProxyMetrics.cpp
@@ -29,6 +29,11 @@
   counter("cancelled", counters.m_cancelled);
   text += fmt::format("sequoiastep_calls_in_progress {}\n", m_callerRequests);
   text += fmt::format("sequoiastep_target_outstanding {}\n", m_runner.Outstanding());
+  const routing::TargetNotice& notice = m_runner.Notice();
+  if (notice.m_perSecond) {
+    text += fmt::format("sequoiastep_target_limit_per_second {}\n", *notice.m_perSecond);
+  }
+  text += fmt::format("sequoiastep_target_leaving {}\n", notice.m_leaving ? 1 : 0);
   text += fmt::format("sequoiastep_remembered_keys {}\n", m_keyedCalls.ClaimCount());
   text += fmt::format("sequoiastep_call_links {}\n", m_links.LinkCount());
   const LogCounts lines = CountsOfLog();
--- a/modules/node/src/TargetRunner.cpp
+++ b/modules/node/src/TargetRunner.cpp
@@ -5,6 +5,7 @@
 #include "Log.h"
 #include "Names.h"
 #include "Problem.h"
+#include "TargetAnswer.h"
 #include "Trace.h"
 
 #include <algorithm>
@@ -98,6 +99,17 @@
   return answer;
 }
 
+void
+LogNotice(const routing::StatedNotice& aStated, std::string_view aSource)
+{
+  const routing::TargetNotice& notice = aStated.m_notice;
+  LogLine(LogLevel::Info, "target_notice", aSource)
+    .Add("target", aStated.m_id)
+    .Add("limit_per_s", notice.m_perSecond ? fmt::format("{:.2f}", *notice.m_perSecond) : "none")
+    .Add("leaving", notice.m_leaving ? "yes" : "no")
+    .Add("source", aSource);
+}
+
 } // namespace
 
 void
@@ -185,6 +197,7 @@
   }
   m_target = aReport;
   m_targetPresent = true;
+  routing::SetIncarnation(m_notice, aReport.m_id, aReport.m_bornMs);
   ApplyServiceLimits(m_target.m_service);
 }
 
@@ -206,6 +219,24 @@
   return m_admissionQueue.m_running + static_cast<std::uint32_t>(m_admissionQueue.m_waiting.size());
 }
 
+const routing::TargetNotice&
+TargetRunner::Notice() const
+{
+  return m_notice.m_stated.m_notice;
+}
+
+// Applies what a response of aTarget says about the target, unless another one took its place.
+void
+TargetRunner::RecordNotice(const routing::TargetReport& aTarget, const net::HttpResponse& aResponse)
+{
+  if (aTarget.m_id != m_target.m_id || aTarget.m_bornMs != m_target.m_bornMs) {
+    return;
+  }
+  if (routing::ApplyResponse(m_notice, adapter::DecodeNotice(aResponse))) {
+    LogNotice(m_notice.m_stated, "response");
+  }
+}
+
 AnswerT
 TargetRunner::MakeRefusal(std::string_view aReason, bool aOverloaded) const
 {
@@ -308,13 +339,16 @@
   aRun->m_dispatched = true;
   m_shared.m_calls.m_dispatched.fetch_add(1, std::memory_order_relaxed);
   const std::shared_ptr<net::HttpClient> client = m_client;
+  const routing::TargetReport target = m_target;
   const std::string id = aCall.request_id;
-  HttpRequest request = MakeTargetRequest(aCall, m_target, left);
+  HttpRequest request = MakeTargetRequest(aCall, target, left);
   net::HttpClient::ResponseMatcher belongs = [&id](const net::HttpResponse& aResponse) {
     return id.empty() || aResponse[adapter::kRequestId] == id;
   };
   HttpResult result = co_await client->Send(std::move(request), left, std::move(belongs));
-  if (!result.m_response && result.m_failure == net::HttpFailure::NotSent) {
+  if (result.m_response) {
+    RecordNotice(target, *result.m_response);
+  } else if (result.m_failure == net::HttpFailure::NotSent) {
     m_unreachableUntil = Clock::Now() + kUnreachableBackoffMs;
   }
   co_return AnswerFrom(std::move(result));
--- a/modules/node/src/TargetRunner.h
+++ b/modules/node/src/TargetRunner.h
@@ -10,6 +10,7 @@
 #include "Messages_generated.h"
 #include "RouteAverages.h"
 #include "SharedState.h"
+#include "TargetNotice.h"
 #include "TargetRecord.h"
 
 #include <boost/asio/cancellation_signal.hpp>
@@ -64,6 +65,8 @@
                                     std::shared_ptr<TargetRun> aRun);
   /// @return the number of running and queued requests.
   std::uint32_t Outstanding() const;
+  /// @return the notice of the target that is in force.
+  const routing::TargetNotice& Notice() const;
   /// Sheds queued requests that would be too late. Call it every few milliseconds.
   void ShedExpired();
 
@@ -85,6 +88,7 @@
                          const wire::AnswerT& aAnswer,
                          std::int64_t aWaitedUs) const;
   void ApplyDecision(const routing::QueueDecision& aDecision);
+  void RecordNotice(const routing::TargetReport& aTarget, const net::HttpResponse& aResponse);
   void ApplyServiceLimits(const std::string& aService);
   wire::AnswerT MakeRefusal(std::string_view aReason, bool aOverloaded) const;
 
@@ -93,6 +97,7 @@
   CallMetrics& m_metrics;
   routing::AdmissionQueue m_admissionQueue;
   routing::TargetReport m_target;
+  routing::NoticeRecord m_notice;
   /// When the target first reported that it is leaving.
   std::optional<Instant> m_leavingSince;
   /// A connection to the target failed; new calls are refused until this time.
