--- a/tools/StandInTarget.cpp
+++ b/tools/StandInTarget.cpp
@@ -1,6 +1,7 @@
 // A test stand-in for a target: a limited number of slots, slow start, draining, load shedding,
 // cancellation when the connection closes (as at a deadline), and health and load endpoints, of
-// which the load endpoint can report stale or false values. Counts the runs of each X-Request-Id,
+// which the load endpoint can report stale or false values. It names a limit or that it leaves on
+// demand. Counts the runs of each X-Request-Id,
 // so that tests can compare them with what callers were told.
 #include "Address.h"
 #include "Clock.h"
@@ -14,6 +15,7 @@
 #include <boost/beast/http/verb.hpp>
 #include <boost/json.hpp>
 #include <chrono>
+#include <deque>
 #include <fmt/core.h>
 #include <map>
 #include <string>
@@ -31,6 +33,8 @@
 
 constexpr Milliseconds kAnnounceIntervalMs = 500;
 constexpr Milliseconds kAnnounceTimeoutMs = 1000;
+/// Window in which requests are counted against the limit that the target names.
+constexpr Milliseconds kLimitWindowMs = 4000;
 
 struct TargetOptions
 {
@@ -70,6 +74,16 @@
       m_draining = true;
       co_return net::MakeResponse(http::status::ok, "text/plain", "draining");
     }
+    if (path == "/standin/limit") {
+      m_limit = aRequest.body();
+      m_arrivals.clear();
+      m_maxInWindow = 0;
+      co_return net::MakeResponse(http::status::ok, "text/plain", "taken");
+    }
+    if (path == "/standin/leave") {
+      m_leaving = true;
+      co_return net::MakeResponse(http::status::ok, "text/plain", "leaving");
+    }
     if (path == "/health") {
       co_return net::MakeResponse(http::status::ok, "text/plain", "ok");
     }
@@ -116,7 +130,29 @@
                                                            { "total", m_totalRuns },
                                                            { "shed", m_shed },
                                                            { "cancelled", m_cancelled },
-                                                           { "most_running", m_maxRunning } }));
+                                                           { "most_running", m_maxRunning },
+                                                           { "most_in_4_s", m_maxInWindow } }));
+  }
+
+  // Counts the requests of the sliding window that ends now.
+  void RecordArrival()
+  {
+    m_arrivals.push_back(Clock::Now());
+    while (m_arrivals.back() - m_arrivals.front() > kLimitWindowMs) {
+      m_arrivals.pop_front();
+    }
+    m_maxInWindow = std::max(m_maxInWindow, m_arrivals.size());
+  }
+
+  // Names the limit and the leaving in a response, as a target in need does.
+  void AddNotice(HttpResponse& aResponse) const
+  {
+    if (!m_limit.empty()) {
+      aResponse.set("Server-Limit", m_limit);
+    }
+    if (m_leaving) {
+      aResponse.set("Server-Leaving", "1");
+    }
   }
 
   // Returns the fixed load if one is set, else a measured load at most m_loadLagMs old.
@@ -139,6 +175,7 @@
     HttpResponse response =
       net::MakeResponse(http::status::service_unavailable, "text/plain", "full");
     response.set("Sequoiastep-Outcome", "not_run");
+    AddNotice(response);
     return response;
   }
 
@@ -152,6 +189,7 @@
 
   Awaitable<HttpResponse> Serve(HttpRequest aRequest)
   {
+    RecordArrival();
     if (m_running >= m_options.m_slots || m_draining) {
       co_return Shed();
     }
@@ -187,6 +225,7 @@
                                     { "request", id },
                                     { "body", std::string_view(aRequest.body()) } }));
     response.set("X-Request-Id", id);
+    AddNotice(response);
     co_return response;
   }
 
@@ -202,6 +241,12 @@
   std::uint64_t m_shed = 0;
   std::uint64_t m_cancelled = 0;
   bool m_draining = false;
+  /// Requests per second that responses name as the limit; empty for none.
+  std::string m_limit;
+  bool m_leaving = false;
+  /// Requests of the last kLimitWindowMs, and the most there were at once since the limit was set.
+  std::deque<Instant> m_arrivals;
+  std::size_t m_maxInWindow = 0;
 };
 
 } // namespace
