--- a/modules/distribution/include/Events.h
+++ b/modules/distribution/include/Events.h
@@ -132,6 +132,8 @@
   std::uint16_t m_slots = 0;
   std::uint32_t m_warmUpMs = 0;
   bool m_draining = false;
+  /// Requests per second that it accepts from all nodes together; none if it named no limit.
+  std::optional<double> m_perSecond;
 };
 
 /// This node applied a newer version of the operator's record, read from the store or sent by a
--- a/modules/distribution/src/ControllerMembers.cpp
+++ b/modules/distribution/src/ControllerMembers.cpp
@@ -4,6 +4,7 @@
 #include "Log.h"
 
 #include <algorithm>
+#include <fmt/core.h>
 
 namespace sequoiastep::distribution {
 
@@ -73,6 +74,8 @@
     .Add("counter", aMember.m_counter)
     .Add("service", aMember.m_service)
     .Add("slots", aMember.m_slots)
+    .Add("limit_per_s",
+         aMember.m_perSecond ? fmt::format("{:.2f}", *aMember.m_perSecond) : std::string("none"))
     .Add("from", aFrom);
 }
 
--- a/modules/membership/include/Members.h
+++ b/modules/membership/include/Members.h
@@ -12,6 +12,7 @@
 #include <array>
 #include <cstdint>
 #include <map>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -46,6 +47,9 @@
   std::uint16_t m_slots = 0;
   /// Warm-up time of a new target, in milliseconds, during which its share of the load ramps up.
   std::uint32_t m_warmUpMs = 0;
+  /// Requests per second that the target accepts from all nodes together; none if it named no
+  /// limit.
+  std::optional<double> m_perSecond;
 };
 
 /// A member's entry and when this node saw it change.
--- a/modules/membership/src/Members.cpp
+++ b/modules/membership/src/Members.cpp
@@ -10,6 +10,9 @@
 
 namespace {
 
+// Limit of a target that named none, in a wire message.
+constexpr double kNoLimit = -1;
+
 constexpr std::array<NameRow<MemberState>, 5> kStateNames{ {
   { MemberState::Starting, "starting" },
   { MemberState::Up, "up" },
@@ -151,6 +154,7 @@
   entry.service = aMember.m_service;
   entry.slots = aMember.m_slots;
   entry.warm_up_ms = aMember.m_warmUpMs;
+  entry.per_second = aMember.m_perSecond.value_or(kNoLimit);
   return entry;
 }
 
@@ -166,7 +170,8 @@
            .m_failureDomain = aEntry.failure_domain,
            .m_service = aEntry.service,
            .m_slots = aEntry.slots,
-           .m_warmUpMs = aEntry.warm_up_ms };
+           .m_warmUpMs = aEntry.warm_up_ms,
+           .m_perSecond = aEntry.per_second < 0 ? std::nullopt : std::optional(aEntry.per_second) };
 }
 
 } // namespace sequoiastep::membership
--- a/modules/node/src/AdminApi.cpp
+++ b/modules/node/src/AdminApi.cpp
@@ -221,6 +221,9 @@
                                     { "service", member.m_service },
                                     { "slots", member.m_slots },
                                     { "counter", member.m_counter } });
+    if (member.m_perSecond) {
+      members.back().as_object()["limit_per_second"] = *member.m_perSecond;
+    }
   }
   return JsonResponse(http::status::ok, { { "members", members } });
 }
--- a/modules/node/src/CallProxy.cpp
+++ b/modules/node/src/CallProxy.cpp
@@ -7,6 +7,7 @@
 #include "Log.h"
 #include "Names.h"
 #include "Problem.h"
+#include "TargetAnswer.h"
 
 #include <boost/beast/http/field.hpp>
 #include <boost/beast/http/verb.hpp>
@@ -55,17 +56,13 @@
   , m_random{ EntropySeed() }
   , m_runner(aContext, aShared, m_metrics)
   , m_targetApi([this](const std::optional<routing::TargetReport>& aTarget) {
-    distribution::TargetChanged change;
     if (aTarget) {
       m_runner.SetTarget(*aTarget);
-      change = { .m_service = aTarget->m_service,
-                 .m_slots = aTarget->m_slots,
-                 .m_warmUpMs = aTarget->m_warmUpMs,
-                 .m_draining = aTarget->m_leaving };
     } else {
       m_runner.RemoveTarget();
     }
-    m_notifyControl(std::move(change));
+    m_announcedTarget = aTarget;
+    AnnounceTarget();
   })
   , m_links(aContext, aIdentity, aShared)
   , m_keyedCalls(aContext,
@@ -123,20 +120,41 @@
   return {};
 }
 
+// Tells all nodes the state of the target beside this one.
+void
+CallProxy::AnnounceTarget()
+{
+  m_announcedNotice = { .m_notice = m_runner.Notice(), .m_at = Clock::Now() };
+  distribution::TargetChanged change;
+  if (m_announcedTarget) {
+    change = { .m_service = m_announcedTarget->m_service,
+               .m_slots = m_announcedTarget->m_slots,
+               .m_warmUpMs = m_announcedTarget->m_warmUpMs,
+               .m_draining = m_runner.IsLeaving(),
+               .m_perSecond = m_runner.Notice().m_perSecond };
+  }
+  m_notifyControl(std::move(change));
+}
+
 Awaitable<void>
 CallProxy::TickLoop()
 {
   Instant nextCloseIdle = Clock::Now() + kCloseIdleIntervalMs;
   while (!m_stopped) {
-    const Milliseconds pause = m_runner.Outstanding() > 0 ? kBusyTickMs : kTickMs;
+    const bool busy = m_runner.Outstanding() > 0 || m_runner.Notice().m_perSecond;
+    const Milliseconds pause = busy ? kBusyTickMs : kTickMs;
     asio::steady_timer timer(m_context, std::chrono::milliseconds(pause));
     co_await timer.async_wait(kAsTuple);
     m_runner.ShedExpired();
     m_targetApi.ExpireReport(Clock::Now());
     ApplyCallerLimits();
+    if (routing::NeedsAnnouncement(m_announcedNotice, m_runner.Notice(), Clock::Now())) {
+      AnnounceTarget();
+    }
     const auto view = m_shared.m_view.load();
     if (Clock::Now() >= nextCloseIdle && view) {
       m_links.CloseIdle(*view);
+      routing::ForgetOld(m_noticeMemory, Clock::Now());
       nextCloseIdle = Clock::Now() + kCloseIdleIntervalMs;
     }
   }
@@ -192,6 +210,8 @@
                               .m_service = service,
                               .m_address = m_settings.m_targetAddress,
                               .m_slots = MinSlotsOfService(service) });
+    m_runner.RecallNotice({ .m_id = id, .m_notice = adapter::DecodeNotice(*result.m_response) },
+                          "health_check");
   }
 }
 
--- a/modules/node/src/CallProxy.h
+++ b/modules/node/src/CallProxy.h
@@ -17,6 +17,7 @@
 #include "Settings.h"
 #include "SharedState.h"
 #include "TargetApi.h"
+#include "TargetNotice.h"
 #include "TargetRunner.h"
 #include "Trace.h"
 #include "WeightedRoundRobin.h"
@@ -126,6 +127,7 @@
   void CountOutcome(wire::CallOutcome aOutcome);
   net::Awaitable<void> TickLoop();
   net::Awaitable<void> ProbeTarget();
+  void AnnounceTarget();
   std::uint16_t MinSlotsOfService(const std::string& aService) const;
 
   net::asio::io_context& m_context;
@@ -143,6 +145,10 @@
   net::HttpServer m_callerServer;
   net::HttpServer m_targetServer;
   routing::PickState m_pickState;
+  routing::NoticeMemory m_noticeMemory;
+  routing::AnnouncedNotice m_announcedNotice;
+  /// Report of the target that other nodes were told; none if they were told of no target.
+  std::optional<routing::TargetReport> m_announcedTarget;
   std::map<std::string, routing::RetryBudget, std::less<>> m_budgets;
   routing::RouteRoundRobins m_weightTurns;
   /// Average run time of a route's requests over all targets, in microseconds.
--- a/modules/node/src/CallProxyRoute.cpp
+++ b/modules/node/src/CallProxyRoute.cpp
@@ -6,6 +6,7 @@
 #include "Headers.h"
 #include "Log.h"
 #include "Names.h"
+#include "NoticeWire.h"
 #include "Problem.h"
 
 #include <boost/asio/bind_cancellation_slot.hpp>
@@ -89,7 +90,9 @@
 routing::LoadReport
 LoadReportOf(const AnswerT& aAnswer)
 {
-  return { .m_load = aAnswer.outstanding, .m_serviceUs = aAnswer.service_us };
+  return { .m_load = aAnswer.outstanding,
+           .m_serviceUs = aAnswer.service_us,
+           .m_rateWaitMs = static_cast<Milliseconds>(aAnswer.rate_wait_ms) };
 }
 
 AttemptOutcome
@@ -273,6 +276,9 @@
     AnswerT answer = co_await RunAtLocalTarget(std::move(call));
     co_return answer;
   }
+  if (const auto known = m_noticeMemory.find(aTarget.m_node); known != m_noticeMemory.end()) {
+    call.remembered = ToWire(known->second.m_stated);
+  }
   const bool crossesRegion = aTarget.m_region != m_identity.m_region;
   const std::size_t sentBytes = call.body.size();
   CallReply reply = co_await m_links.Call(
@@ -283,6 +289,9 @@
   AnswerT answer;
   switch (reply.m_kind) {
     case CallReply::Kind::Answered:
+      if (const auto& notice = reply.m_answer.notice) {
+        routing::Remember(m_noticeMemory, aTarget.m_node, FromWire(*notice), Clock::Now());
+      }
       co_return std::move(reply.m_answer);
     case CallReply::Kind::NotSent:
       answer.outcome = CallOutcome::NotRun;
@@ -319,7 +328,7 @@
       RecordAnswer(aJob, aAnswer, aNode, aElapsedUs);
       break;
     case AttemptOutcome::Overloaded:
-      routing::RecordOverload(m_pickState, aNode, LoadReportOf(aAnswer), now);
+      routing::RecordOverload(m_pickState, aNode, LoadReportOf(aAnswer), now, m_random);
       break;
     case AttemptOutcome::NotRun:
     case AttemptOutcome::TurnedAway:
--- a/modules/node/src/ControlPlane.cpp
+++ b/modules/node/src/ControlPlane.cpp
@@ -392,7 +392,8 @@
                                                    .m_slots = member.m_slots,
                                                    .m_warmUpMs = member.m_warmUpMs,
                                                    .m_upSince = record.m_upSince,
-                                                   .m_suspect = suspect });
+                                                   .m_suspect = suspect,
+                                                   .m_perSecond = member.m_perSecond });
   }
   m_shared.m_view.store(std::move(view));
 }
--- a/modules/node/src/TargetRunner.cpp
+++ b/modules/node/src/TargetRunner.cpp
@@ -4,6 +4,7 @@
 #include "Headers.h"
 #include "Log.h"
 #include "Names.h"
+#include "NoticeWire.h"
 #include "Problem.h"
 #include "TargetAnswer.h"
 #include "Trace.h"
@@ -190,14 +191,15 @@
     m_leavingSince.reset();
     m_unreachableUntil = {};
   }
-  if (aReport.m_leaving && !m_leavingSince) {
-    m_leavingSince = Clock::Now();
-  } else if (!aReport.m_leaving) {
-    m_leavingSince.reset();
-  }
   m_target = aReport;
   m_targetPresent = true;
   routing::SetIncarnation(m_notice, aReport.m_id, aReport.m_bornMs);
+  routing::SetRate(m_admissionQueue.m_rateLimiter, Notice().m_perSecond, Clock::Now());
+  if (!IsLeaving()) {
+    m_leavingSince.reset();
+  } else if (!m_leavingSince) {
+    m_leavingSince = Clock::Now();
+  }
   ApplyServiceLimits(m_target.m_service);
 }
 
@@ -233,8 +235,34 @@
     return;
   }
   if (routing::ApplyResponse(m_notice, adapter::DecodeNotice(aResponse))) {
-    LogNotice(m_notice.m_stated, "response");
+    UseNotice("response");
+  }
+}
+
+void
+TargetRunner::RecallNotice(const routing::StatedNotice& aStated, std::string_view aSource)
+{
+  if (routing::Recall(m_notice, aStated)) {
+    UseNotice(aSource);
+  }
+}
+
+// Makes the notice in force take effect.
+void
+TargetRunner::UseNotice(std::string_view aSource)
+{
+  const routing::TargetNotice& notice = Notice();
+  routing::SetRate(m_admissionQueue.m_rateLimiter, notice.m_perSecond, Clock::Now());
+  if (notice.m_leaving && !m_leavingSince) {
+    m_leavingSince = Clock::Now();
   }
+  LogNotice(m_notice.m_stated, aSource);
+}
+
+bool
+TargetRunner::IsLeaving() const
+{
+  return m_target.m_leaving || Notice().m_leaving;
 }
 
 AnswerT
@@ -290,15 +318,15 @@
   return request;
 }
 
-Awaitable<bool>
-TargetRunner::Admit(routing::AdmissionRequest aRequest, Milliseconds& aWaitMs)
+// Returns the decision on the request, after its wait if it was queued.
+Awaitable<routing::AdmissionResult>
+TargetRunner::Admit(routing::AdmissionRequest aRequest)
 {
   const Instant now = Clock::Now();
   const std::uint64_t id = aRequest.m_id;
-  const routing::AdmissionResult admissionResult = routing::Offer(m_admissionQueue, aRequest, now);
-  aWaitMs = admissionResult.m_waitMs;
-  if (admissionResult.m_admission != routing::Admission::Wait) {
-    co_return admissionResult.m_admission == routing::Admission::Run;
+  routing::AdmissionResult result = routing::Offer(m_admissionQueue, aRequest, now);
+  if (result.m_admission != routing::Admission::Wait) {
+    co_return result;
   }
   QueuedRequest queued(m_context, aRequest.m_deadline - now + 1);
   m_queued.emplace(id, &queued);
@@ -322,7 +350,8 @@
   Cleanup cleanup{ .m_runner = *this, .m_request = queued, .m_id = id };
   co_await queued.m_timer.async_wait(kAsTuple);
   cleanup.m_slotUsed = queued.m_admitted;
-  co_return queued.m_admitted;
+  result.m_admission = queued.m_admitted ? routing::Admission::Run : routing::Admission::Shed;
+  co_return result;
 }
 
 Awaitable<AnswerT>
@@ -358,7 +387,7 @@
 std::string
 TargetRunner::RefusalReason(const CallT& aCall) const
 {
-  if (m_stopping || !m_targetPresent || m_target.m_leaving) {
+  if (m_stopping || !m_targetPresent || IsLeaving()) {
     return "the target here takes no new work";
   }
   if (aCall.service != m_target.m_service) {
@@ -420,6 +449,21 @@
 
 Awaitable<AnswerT>
 TargetRunner::Run(CallT aCall, std::string aCaller, std::shared_ptr<TargetRun> aRun)
+{
+  if (aCall.remembered) {
+    RecallNotice(FromWire(*aCall.remembered), "peer");
+  }
+  AnswerT answer = co_await RunAdmitted(aCall, std::move(aCaller), std::move(aRun));
+  if (aCall.remembered || Notice() != routing::TargetNotice{}) {
+    answer.notice = ToWire(m_notice.m_stated);
+    answer.rate_wait_ms =
+      static_cast<std::uint32_t>(routing::RateWaitMs(m_admissionQueue, Clock::Now()));
+  }
+  co_return answer;
+}
+
+Awaitable<AnswerT>
+TargetRunner::RunAdmitted(const CallT& aCall, std::string aCaller, std::shared_ptr<TargetRun> aRun)
 {
   const std::string refusalReason = RefusalReason(aCall);
   if (!refusalReason.empty()) {
@@ -429,17 +473,19 @@
   ApplyServiceLimits(aCall.service);
   const std::int64_t arrivedUs = Clock::NowMicroseconds();
   const Instant deadline = Clock::Now() + aCall.timeout_ms;
-  Milliseconds waitMs = 0;
   routing::AdmissionRequest request = MakeAdmissionRequest(aCall, aCaller);
-  const bool admitted = co_await Admit(std::move(request), waitMs);
+  const routing::AdmissionResult admission = co_await Admit(std::move(request));
+  const bool admitted = admission.m_admission == routing::Admission::Run;
   const std::int64_t waitedUs = Clock::NowMicroseconds() - arrivedUs;
   m_metrics.RecordQueueWait(admitted ? QueueResult::Run : QueueResult::Refused, waitedUs);
   if (!admitted) {
     m_shared.m_calls.m_shed.fetch_add(1, std::memory_order_relaxed);
-    AnswerT full = MakeRefusal("the target is full", true);
+    AnswerT full = MakeRefusal(admission.m_rateLimited ? "the target is at the limit that it named"
+                                                       : "the target is full",
+                               true);
     full.retry_after_ms = static_cast<std::uint32_t>(
-      std::clamp<Milliseconds>(waitMs, kMinRetryAfterMs, kMaxRetryAfterMs));
-    LogRefused(aCall, aCaller, full.reason, waitMs);
+      std::clamp<Milliseconds>(admission.m_waitMs, kMinRetryAfterMs, kMaxRetryAfterMs));
+    LogRefused(aCall, aCaller, full.reason, admission.m_waitMs);
     co_return full;
   }
   struct SlotRelease
--- a/modules/node/src/TargetRunner.h
+++ b/modules/node/src/TargetRunner.h
@@ -67,13 +67,21 @@
   std::uint32_t Outstanding() const;
   /// @return the notice of the target that is in force.
   const routing::TargetNotice& Notice() const;
+  /// @return true if the target reported that it leaves or says so in its responses.
+  bool IsLeaving() const;
+  /// Applies a notice of the target that a health check or another node brings.
+  /// @param aSource where it comes from, for the log.
+  void RecallNotice(const routing::StatedNotice& aStated, std::string_view aSource);
   /// Sheds queued requests that would be too late. Call it every few milliseconds.
   void ShedExpired();
 
 private:
   struct QueuedRequest;
 
-  net::Awaitable<bool> Admit(routing::AdmissionRequest aRequest, Milliseconds& aWaitMs);
+  net::Awaitable<wire::AnswerT> RunAdmitted(const wire::CallT& aCall,
+                                            std::string aCaller,
+                                            std::shared_ptr<TargetRun> aRun);
+  net::Awaitable<routing::AdmissionResult> Admit(routing::AdmissionRequest aRequest);
   routing::AdmissionRequest MakeAdmissionRequest(const wire::CallT& aCall, std::string aCaller);
   net::Awaitable<wire::AnswerT> Dispatch(const wire::CallT& aCall,
                                          Instant aDeadline,
@@ -88,6 +96,7 @@
                          const wire::AnswerT& aAnswer,
                          std::int64_t aWaitedUs) const;
   void ApplyDecision(const routing::QueueDecision& aDecision);
+  void UseNotice(std::string_view aSource);
   void RecordNotice(const routing::TargetReport& aTarget, const net::HttpResponse& aResponse);
   void ApplyServiceLimits(const std::string& aService);
   wire::AnswerT MakeRefusal(std::string_view aReason, bool aOverloaded) const;
--- a/modules/routing/include/AdmissionQueue.h
+++ b/modules/routing/include/AdmissionQueue.h
@@ -1,6 +1,6 @@
 /// @file
 /// Admission control for the slots of the target beside the node: runs, queues or sheds each
-/// request.
+/// request. It keeps the rate that the target accepts as well.
 ///
 /// Queued requests are ordered by priority, then those that can still meet their latency objective
 /// come before those that can't: under overload the target runs the requests that gain most from
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "Clock.h"
+#include "RateLimiter.h"
 
 #include <cstdint>
 #include <limits>
@@ -65,6 +66,8 @@
 struct AdmissionQueue
 {
   AdmissionOptions m_options;
+  /// Rate that the target accepts, whatever slots are free.
+  RateLimiter m_rateLimiter;
   std::uint32_t m_running = 0;
   std::vector<AdmissionRequest> m_waiting;
   /// Moving average of how long a request runs, in microseconds.
@@ -81,6 +84,8 @@
   Admission m_admission = Admission::Shed;
   /// Estimated wait.
   Milliseconds m_waitMs = 0;
+  /// The wait is for the rate that the target accepts, not for a slot.
+  bool m_rateLimited = false;
 };
 
 /// Ids of the queued requests that now run or are shed.
@@ -109,6 +114,10 @@
 QueueDecision
 ProcessQueue(AdmissionQueue& aQueue, Instant aNow);
 
+/// @return the time until the rate that the target accepts lets one more request pass.
+Milliseconds
+RateWaitMs(const AdmissionQueue& aQueue, Instant aNow);
+
 /// Sets new limits. Added slots are used from the next ProcessQueue on.
 void
 Resize(AdmissionQueue& aQueue, const AdmissionOptions& aOptions);
--- a/modules/routing/include/Picker.h
+++ b/modules/routing/include/Picker.h
@@ -44,6 +44,8 @@
   Instant m_upSince;
   /// Another node suspects that it failed; it is tried only after the others.
   bool m_suspect = false;
+  /// Requests per second that it accepts from all nodes together; none if it named no limit.
+  std::optional<double> m_perSecond;
 };
 
 /// Load of a target, which the node beside it sends with each answer.
@@ -53,6 +55,8 @@
   std::uint32_t m_load = 0;
   /// Average time that a request runs there, in microseconds; 0 if not known.
   std::uint32_t m_serviceUs = 0;
+  /// Time until the limit that the target named lets one more request pass; 0 if at once.
+  Milliseconds m_rateWaitMs = 0;
 };
 
 /// What this node observed of one target on its own calls.
@@ -74,6 +78,10 @@
   /// Moving average of the round-trip time, which excludes the time that the node beside the target
   /// had the call, in microseconds; 0 before the first answer.
   double m_rttUs = 0;
+  /// Before this instant the limit that the target named probably lets no request pass.
+  Instant m_rateLimitedUntil;
+  /// Refusals for that limit since the last answer.
+  std::uint32_t m_rateRefusals = 0;
   /// Failures since the last answer.
   std::uint32_t m_failures = 0;
   /// Backoff: it gets no call before this instant, unless too few other targets are trusted.
@@ -170,9 +178,15 @@
 void
 RecordFailure(PickState& aState, std::string_view aNode, Instant aNow, Random& aRandom);
 
-/// Records that aNode refused a call because its target is full; it is not avoided for that.
+/// Records that aNode refused a call because its target is full or at the limit that it named. It
+/// is not avoided for that, but the wait for the limit is taken to be longer after each refusal,
+/// since other nodes compete for it.
 void
-RecordOverload(PickState& aState, std::string_view aNode, const LoadReport& aReport, Instant aNow);
+RecordOverload(PickState& aState,
+               std::string_view aNode,
+               const LoadReport& aReport,
+               Instant aNow,
+               Random& aRandom);
 
 /// Records that a call ended without an observation of the target, for example because its caller
 /// left.
--- a/modules/routing/include/TargetNotice.h
+++ b/modules/routing/include/TargetNotice.h
@@ -7,6 +7,8 @@
 #include "Clock.h"
 
 #include <cstdint>
+#include <functional>
+#include <map>
 #include <optional>
 #include <string>
 
@@ -57,4 +59,38 @@
 bool
 Recall(NoticeRecord& aRecord, const StatedNotice& aRemembered);
 
+/// A notice of another node's target, as a calling node remembers it.
+struct RememberedNotice
+{
+  StatedNotice m_stated;
+  /// When the other node last stated it.
+  Instant m_statedAt;
+};
+
+/// What a node remembers of the targets that it called, by the node beside the target.
+using NoticeMemory = std::map<std::string, RememberedNotice, std::less<>>;
+
+/// Remembers the notice that aNode stated, in place of an earlier one. An empty one is forgotten.
+void
+Remember(NoticeMemory& aMemory,
+         const std::string& aNode,
+         const StatedNotice& aStated,
+         Instant aNow);
+
+/// Forgets notices that were not stated for a long time.
+void
+ForgetOld(NoticeMemory& aMemory, Instant aNow);
+
+/// The notice that other nodes were last told, and when.
+struct AnnouncedNotice
+{
+  TargetNotice m_notice;
+  Instant m_at;
+};
+
+/// @return true if other nodes should be told aNotice: at once if the target leaves or a limit
+/// begins or ends, later if it changes by much.
+bool
+NeedsAnnouncement(const AnnouncedNotice& aAnnounced, const TargetNotice& aNotice, Instant aNow);
+
 } // namespace sequoiastep::routing
--- a/modules/routing/src/AdmissionQueue.cpp
+++ b/modules/routing/src/AdmissionQueue.cpp
@@ -60,14 +60,38 @@
   return (aWorkMs + nextFreeMs) / slots;
 }
 
-Milliseconds
-EstimateWait(const AdmissionQueue& aQueue, const AdmissionRequest& aRequest, Instant aNow)
+// Work that runs before a request.
+struct WorkAhead
 {
-  double aheadMs = 0;
+  std::size_t m_requests = 0;
+  double m_workMs = 0;
+};
+
+void
+AddWork(WorkAhead& aAhead, const AdmissionQueue& aQueue, const AdmissionRequest& aRequest)
+{
+  ++aAhead.m_requests;
+  aAhead.m_workMs += ServiceMs(aQueue, aRequest);
+}
+
+// Time until both a slot is free and the rate lets the request pass.
+double
+WaitAfterMs(const AdmissionQueue& aQueue, const WorkAhead& aAhead, Instant aNow)
+{
+  return std::max(DrainTimeMs(aQueue, aAhead.m_workMs),
+                  WaitForTokenMs(aQueue.m_rateLimiter, aAhead.m_requests, aNow));
+}
+
+WorkAhead
+WorkAheadOf(const AdmissionQueue& aQueue, const AdmissionRequest& aRequest, Instant aNow)
+{
+  WorkAhead ahead;
   for (const AdmissionRequest& waiting : aQueue.m_waiting) {
-    aheadMs += RunsBefore(aQueue, waiting, aRequest, aNow) ? ServiceMs(aQueue, waiting) : 0;
+    if (RunsBefore(aQueue, waiting, aRequest, aNow)) {
+      AddWork(ahead, aQueue, waiting);
+    }
   }
-  return static_cast<Milliseconds>(DrainTimeMs(aQueue, aheadMs));
+  return ahead;
 }
 
 std::size_t
@@ -106,11 +130,11 @@
             [&](const AdmissionRequest& aLeft, const AdmissionRequest& aRight) {
               return RunsBefore(aQueue, aLeft, aRight, aNow);
             });
-  double aheadMs = 0;
+  WorkAhead ahead;
   std::erase_if(aQueue.m_waiting, [&](const AdmissionRequest& aRequest) {
-    const Instant start = aNow + static_cast<Milliseconds>(DrainTimeMs(aQueue, aheadMs));
+    const Instant start = aNow + static_cast<Milliseconds>(WaitAfterMs(aQueue, ahead, aNow));
     if (aNow < aRequest.m_latestStart && start < aRequest.m_deadline) {
-      aheadMs += ServiceMs(aQueue, aRequest);
+      AddWork(ahead, aQueue, aRequest);
       return false;
     }
     aDecision.m_shed.push_back(aRequest.m_id);
@@ -141,21 +165,24 @@
   if (aNow >= aRequest.m_deadline) {
     return { .m_admission = Admission::Shed, .m_waitMs = 0 };
   }
-  if (aQueue.m_running < aQueue.m_options.m_slots && aQueue.m_waiting.empty()) {
+  const bool hasFreeSlot = aQueue.m_running < aQueue.m_options.m_slots;
+  if (hasFreeSlot && aQueue.m_waiting.empty() && TryTake(aQueue.m_rateLimiter, aNow)) {
     ++aQueue.m_running;
     return { .m_admission = Admission::Run, .m_waitMs = 0 };
   }
   AdmissionRequest waiting = aRequest;
   waiting.m_arrivalOrder = ++aQueue.m_arrivalCount;
-  const Milliseconds wait = EstimateWait(aQueue, waiting, aNow);
+  const WorkAhead ahead = WorkAheadOf(aQueue, waiting, aNow);
+  const auto wait = static_cast<Milliseconds>(WaitAfterMs(aQueue, ahead, aNow));
+  const bool rateLimited = DrainTimeMs(aQueue, ahead.m_workMs) < static_cast<double>(wait);
   if (IsQueueFull(aQueue, aRequest.m_caller) || wait > aRequest.m_maxWaitMs ||
       aNow + wait >= aRequest.m_deadline) {
-    return { .m_admission = Admission::Shed, .m_waitMs = wait };
+    return { .m_admission = Admission::Shed, .m_waitMs = wait, .m_rateLimited = rateLimited };
   }
   waiting.m_latestStart = std::min(aNow + aQueue.m_options.m_queueMs, aRequest.m_deadline);
   aQueue.m_lastServed.try_emplace(aRequest.m_caller, 0);
   aQueue.m_waiting.push_back(std::move(waiting));
-  return { .m_admission = Admission::Wait, .m_waitMs = wait };
+  return { .m_admission = Admission::Wait, .m_waitMs = wait, .m_rateLimited = rateLimited };
 }
 
 QueueDecision
@@ -163,7 +190,8 @@
 {
   QueueDecision decision;
   ShedLate(aQueue, aNow, decision);
-  while (aQueue.m_running < aQueue.m_options.m_slots && !aQueue.m_waiting.empty()) {
+  while (aQueue.m_running < aQueue.m_options.m_slots && !aQueue.m_waiting.empty() &&
+         TryTake(aQueue.m_rateLimiter, aNow)) {
     RunNext(aQueue, aNow, decision);
   }
   ForgetIdleCallers(aQueue);
@@ -192,6 +220,13 @@
   return removed > 0;
 }
 
+Milliseconds
+RateWaitMs(const AdmissionQueue& aQueue, Instant aNow)
+{
+  return static_cast<Milliseconds>(
+    WaitForTokenMs(aQueue.m_rateLimiter, aQueue.m_waiting.size(), aNow));
+}
+
 void
 Resize(AdmissionQueue& aQueue, const AdmissionOptions& aOptions)
 {
--- a/modules/routing/src/Picker.cpp
+++ b/modules/routing/src/Picker.cpp
@@ -19,6 +19,9 @@
 // Weight of the latest sample in the moving averages.
 constexpr double kAverageWeight = 0.2;
 constexpr double kUsPerMs = 1000;
+constexpr double kMsPerSecond = 1000;
+// Lower bound for targets that accept almost nothing, so that their wait stays finite.
+constexpr double kMinLimitedSlots = 0.02;
 // Run time of a target and round-trip time by locality that are assumed before the first answer.
 constexpr double kDefaultServiceUs = 250'000;
 constexpr std::array<double, 3> kDefaultRttMs{ 0.5, 4, 18 };
@@ -27,6 +30,7 @@
 constexpr Milliseconds kAvoidMinMs = 100;
 constexpr Milliseconds kAvoidMaxMs = 5000;
 constexpr std::uint32_t kMaxDoublings = 6;
+constexpr Milliseconds kRateWaitMaxMs = 3000;
 // Bounds on one sample of slowness: requests of one route differ, so that one answer says little.
 constexpr double kMinSlowness = 0.2;
 constexpr double kMaxSlowness = 5;
@@ -92,6 +96,17 @@
   return aAverageUs / kUsPerMs * aStats.m_slowness * (2 - WarmUpShare(aCandidate, aNow));
 }
 
+// Slots that the target can use at the rate that it accepts, while it warms up or is warm.
+double
+UsableSlots(const Candidate& aCandidate, double aServiceMs, Instant aNow)
+{
+  const double slots = std::max(1.0, aCandidate.m_slots * WarmUpShare(aCandidate, aNow));
+  if (!aCandidate.m_perSecond) {
+    return slots;
+  }
+  return std::clamp(*aCandidate.m_perSecond * aServiceMs / kMsPerSecond, kMinLimitedSlots, slots);
+}
+
 // Cost of a latency to the caller. Latency within kSlackShare of the objective counts little.
 double
 LatencyCostMs(double aLatencyMs, Milliseconds aObjectiveMs)
@@ -210,6 +225,15 @@
   if (aReport.m_serviceUs > 0) {
     aStats.m_serviceUs = aReport.m_serviceUs;
   }
+  aStats.m_rateLimitedUntil = aNow + aReport.m_rateWaitMs;
+}
+
+// Between half of aDurationMs and all of it.
+Milliseconds
+WithJitter(Milliseconds aDurationMs, Random& aRandom)
+{
+  const auto rangeMs = static_cast<std::uint64_t>(aDurationMs / 2 + 1);
+  return aDurationMs / 2 + static_cast<Milliseconds>(aRandom.Below(rangeMs));
 }
 
 void
@@ -248,9 +272,9 @@
 double
 PredictedWaitMs(const Candidate& aCandidate, const TargetStats& aStats, Instant aNow)
 {
-  const double slots = std::max(1.0, aCandidate.m_slots * WarmUpShare(aCandidate, aNow));
   const double serviceMs =
     (aStats.m_serviceUs > 0 ? aStats.m_serviceUs : kDefaultServiceUs) / kUsPerMs;
+  const double slots = UsableSlots(aCandidate, serviceMs, aNow);
   const Milliseconds ageMs = aNow - aStats.m_reportedAt;
   double load = aStats.m_outstanding;
   if (ageMs < kReportMaxAgeMs) {
@@ -261,7 +285,8 @@
       std::max(0.0, static_cast<double>(aStats.m_outstanding) - aStats.m_outstandingAtReport);
     load = std::max(load, std::max(0.0, aStats.m_reportedLoad - done) + sent);
   }
-  return std::max(0.0, load + 1 - slots) * serviceMs / slots;
+  const double slotWaitMs = std::max(0.0, load + 1 - slots) * serviceMs / slots;
+  return std::max(slotWaitMs, static_cast<double>(aStats.m_rateLimitedUntil - aNow));
 }
 
 std::optional<std::size_t>
@@ -316,6 +341,7 @@
   }
   ApplyReport(stats, aReport, aNow);
   stats.m_failures = 0;
+  stats.m_rateRefusals = 0;
   stats.m_avoidUntil = {};
 }
 
@@ -326,18 +352,27 @@
   TargetStats& stats = aState.m_targets[std::string(aNode)];
   const Milliseconds backoffMs =
     std::min(kAvoidMaxMs, kAvoidMinMs << std::min(stats.m_failures, kMaxDoublings));
-  const auto jitterRangeMs = static_cast<std::uint64_t>(backoffMs / 2 + 1);
-  stats.m_avoidUntil =
-    aNow + (backoffMs / 2 + static_cast<Milliseconds>(aRandom.Below(jitterRangeMs)));
+  stats.m_avoidUntil = aNow + WithJitter(backoffMs, aRandom);
   stats.m_avoidedAt = aNow;
   ++stats.m_failures;
 }
 
 void
-RecordOverload(PickState& aState, std::string_view aNode, const LoadReport& aReport, Instant aNow)
+RecordOverload(PickState& aState,
+               std::string_view aNode,
+               const LoadReport& aReport,
+               Instant aNow,
+               Random& aRandom)
 {
   RecordAbandoned(aState, aNode);
-  ApplyReport(aState.m_targets[std::string(aNode)], aReport, aNow);
+  TargetStats& stats = aState.m_targets[std::string(aNode)];
+  ApplyReport(stats, aReport, aNow);
+  if (aReport.m_rateWaitMs > 0) {
+    const Milliseconds waitMs = std::min(
+      kRateWaitMaxMs, aReport.m_rateWaitMs << std::min(stats.m_rateRefusals, kMaxDoublings));
+    stats.m_rateLimitedUntil = aNow + WithJitter(waitMs, aRandom);
+    ++stats.m_rateRefusals;
+  }
 }
 
 } // namespace sequoiastep::routing
--- a/modules/routing/src/TargetNotice.cpp
+++ b/modules/routing/src/TargetNotice.cpp
@@ -1,9 +1,20 @@
 #include "TargetNotice.h"
 
+#include <cmath>
 #include <utility>
 
 namespace sequoiastep::routing {
 
+namespace {
+
+// Smaller changes of a limit are not worth a message to all nodes.
+constexpr double kAnnouncedChange = 0.1;
+constexpr Milliseconds kAnnounceIntervalMs = 1000;
+// Longer than a target that leaves goes on running.
+constexpr Milliseconds kRememberMs = 600'000;
+
+} // namespace
+
 void
 SetIncarnation(NoticeRecord& aRecord, const std::string& aId, std::int64_t aBornMs)
 {
@@ -40,4 +51,33 @@
   return true;
 }
 
+void
+Remember(NoticeMemory& aMemory, const std::string& aNode, const StatedNotice& aStated, Instant aNow)
+{
+  if (aStated.m_notice == TargetNotice{}) {
+    aMemory.erase(aNode);
+  } else {
+    aMemory[aNode] = { .m_stated = aStated, .m_statedAt = aNow };
+  }
+}
+
+void
+ForgetOld(NoticeMemory& aMemory, Instant aNow)
+{
+  std::erase_if(aMemory,
+                [&](const auto& aItem) { return aNow - aItem.second.m_statedAt > kRememberMs; });
+}
+
+bool
+NeedsAnnouncement(const AnnouncedNotice& aAnnounced, const TargetNotice& aNotice, Instant aNow)
+{
+  const TargetNotice& told = aAnnounced.m_notice;
+  if (aNotice.m_leaving != told.m_leaving ||
+      aNotice.m_perSecond.has_value() != told.m_perSecond.has_value()) {
+    return true;
+  }
+  return aNotice.m_perSecond && aNow - aAnnounced.m_at >= kAnnounceIntervalMs &&
+         std::abs(*aNotice.m_perSecond - *told.m_perSecond) > kAnnouncedChange * *told.m_perSecond;
+}
+
 } // namespace sequoiastep::routing
--- /dev/null
+++ b/modules/routing/tests/RateLimiterTest.cpp
@@ -0,0 +1,194 @@
+#include "RateLimiter.h"
+#include "AdmissionQueue.h"
+#include "Picker.h"
+#include "TargetNotice.h"
+
+#include <algorithm>
+#include <doctest/doctest.h>
+#include <vector>
+
+using namespace sequoiastep;
+using namespace sequoiastep::routing;
+
+namespace {
+
+constexpr Instant kNow{ 1'000'000 };
+constexpr Milliseconds kWindowMs = 4000;
+constexpr Milliseconds kServiceMs = 100;
+
+// One and a half times the limit in 4 s, and 5 requests.
+double
+Allowed(double aPerSecond)
+{
+  return aPerSecond * 4 * 1.5 + 5;
+}
+
+// The most arrivals in any window of kWindowMs.
+std::size_t
+MostInWindow(const std::vector<Instant>& aArrivals)
+{
+  std::size_t most = 0;
+  for (auto first = aArrivals.begin(), last = first; last != aArrivals.end(); ++last) {
+    while (*last - *first > kWindowMs) {
+      ++first;
+    }
+    most = std::max(most, static_cast<std::size_t>(last - first) + 1);
+  }
+  return most;
+}
+
+// The node beside a target, its queue, and what calling nodes remember of the target.
+struct FarNode
+{
+  AdmissionQueue m_queue{ .m_options = { .m_slots = 6, .m_queue = 64, .m_queueMs = 60'000 } };
+  NoticeRecord m_notice;
+  std::vector<std::pair<Instant, std::uint64_t>> m_ends;
+
+  void Use() { SetRate(m_queue.m_rateLimiter, m_notice.m_stated.m_notice.m_perSecond, m_now); }
+  void Dispatch(std::vector<Instant>& aArrivals)
+  {
+    aArrivals.push_back(m_now);
+    m_ends.emplace_back(m_now + kServiceMs, 0);
+  }
+  Instant m_now;
+};
+
+struct Load
+{
+  double m_perSecond = 100;
+  double m_limit = 8;
+  Milliseconds m_forMs = 20'000;
+  /// The node beside the target restarts at these times.
+  std::vector<Milliseconds> m_restartsMs;
+};
+
+// Plays a load on one target whose limit is known to the calling nodes.
+std::vector<Instant>
+Play(const Load& aLoad)
+{
+  const StatedNotice remembered{ .m_id = "a",
+                                 .m_bornMs = 1,
+                                 .m_notice = { .m_perSecond = aLoad.m_limit } };
+  std::vector<Instant> arrivals;
+  FarNode node;
+  SetIncarnation(node.m_notice, "a", 1);
+  double due = 0;
+  std::uint64_t id = 0;
+  for (Milliseconds ms = 0; ms < aLoad.m_forMs; ++ms) {
+    const Instant now = kNow + ms;
+    if (std::find(aLoad.m_restartsMs.begin(), aLoad.m_restartsMs.end(), ms) !=
+        aLoad.m_restartsMs.end()) {
+      node = FarNode();
+      SetIncarnation(node.m_notice, "a", 1);
+    }
+    node.m_now = now;
+    while (!node.m_ends.empty() && node.m_ends.front().first <= now) {
+      node.m_ends.erase(node.m_ends.begin());
+      ApplyResponse(node.m_notice, remembered.m_notice);
+      node.Use();
+      for (const auto& run : Finish(node.m_queue, now, kServiceMs * 1000).m_run) {
+        static_cast<void>(run);
+        node.Dispatch(arrivals);
+      }
+    }
+    for (const auto& run : ProcessQueue(node.m_queue, now).m_run) {
+      static_cast<void>(run);
+      node.Dispatch(arrivals);
+    }
+    for (due += aLoad.m_perSecond / 1000; due >= 1; due -= 1) {
+      if (Recall(node.m_notice, remembered)) {
+        node.Use();
+      }
+      const AdmissionRequest request{ .m_id = ++id, .m_deadline = now + 1000, .m_maxWaitMs = 40 };
+      if (Offer(node.m_queue, request, now).m_admission == Admission::Run) {
+        node.Dispatch(arrivals);
+      }
+    }
+  }
+  return arrivals;
+}
+
+} // namespace
+
+TEST_CASE("a target gets no more requests than the limit that it named, and about as many")
+{
+  for (const double limit : { 0.0, 0.5, 3.5, 8.0, 40.0, 55.0 }) {
+    CAPTURE(limit);
+    const auto arrivals = Play({ .m_limit = limit });
+    CHECK(static_cast<double>(MostInWindow(arrivals)) <= Allowed(limit));
+    CHECK(static_cast<double>(arrivals.size()) >= 0.9 * limit * 20);
+  }
+}
+
+TEST_CASE("the limit adds up across restarts of the node beside the target")
+{
+  for (const double limit : { 0.5, 3.5, 8.0 }) {
+    CAPTURE(limit);
+    const auto arrivals =
+      Play({ .m_limit = limit, .m_restartsMs = { 6000, 6700, 7400, 8100, 8800 } });
+    CHECK(static_cast<double>(MostInWindow(arrivals)) <= Allowed(limit));
+  }
+}
+
+TEST_CASE("what a limited target can't serve in time is refused at once, with the wait")
+{
+  AdmissionQueue queue{ .m_options = { .m_slots = 6, .m_queue = 64, .m_queueMs = 60'000 } };
+  SetRate(queue.m_rateLimiter, 2.0, kNow);
+  const auto offer = [&](std::uint64_t aId, Milliseconds aDeadlineMs) {
+    return Offer(queue, { .m_id = aId, .m_deadline = kNow + aDeadlineMs }, kNow);
+  };
+  CHECK(offer(1, 1200).m_admission == Admission::Run);
+  CHECK(offer(2, 1200).m_admission == Admission::Wait);
+  CHECK(offer(3, 1200).m_admission == Admission::Wait);
+  const AdmissionResult refused = offer(4, 1200);
+  CHECK(refused.m_admission == Admission::Shed);
+  CHECK(refused.m_rateLimited);
+  CHECK(refused.m_waitMs == 1500);
+  CHECK(ProcessQueue(queue, kNow + 499).m_run.empty());
+  CHECK(ProcessQueue(queue, kNow + 500).m_run == std::vector<std::uint64_t>{ 2 });
+  CHECK(ProcessQueue(queue, kNow + 999).m_run.empty());
+  CHECK(ProcessQueue(queue, kNow + 1000).m_run == std::vector<std::uint64_t>{ 3 });
+}
+
+TEST_CASE("without a limit the rate holds nothing up, and a lower one takes effect at once")
+{
+  RateLimiter limiter;
+  for (int i = 0; i < 1000; ++i) {
+    CHECK(TryTake(limiter, kNow));
+  }
+  SetRate(limiter, 100.0, kNow);
+  CHECK(TryTake(limiter, kNow));
+  CHECK_FALSE(TryTake(limiter, kNow));
+  SetRate(limiter, 1.0, kNow + 1000);
+  CHECK(TryTake(limiter, kNow + 1000));
+  CHECK_FALSE(TryTake(limiter, kNow + 1999));
+  CHECK(TryTake(limiter, kNow + 2000));
+  SetRate(limiter, std::nullopt, kNow + 2000);
+  CHECK(TryTake(limiter, kNow + 2000));
+}
+
+TEST_CASE("a node that never called a limited target sends its load elsewhere")
+{
+  std::vector<Candidate> candidates{
+    { .m_node = "near", .m_region = "east", .m_failureDomain = "east-a", .m_slots = 6 },
+    { .m_node = "far", .m_region = "east", .m_failureDomain = "east-b", .m_slots = 6 }
+  };
+  const PickRequest request{ .m_region = "east", .m_failureDomain = "east-a" };
+  Random random{ 3 };
+  CHECK(Pick(candidates, {}, request, kNow, random) == 0);
+  candidates[0].m_perSecond = 0.5;
+  CHECK(Pick(candidates, {}, request, kNow, random) == 1);
+}
+
+TEST_CASE("nodes are told of a limit when it begins, ends or changes by much, and not more often")
+{
+  AnnouncedNotice announced{ .m_at = kNow };
+  CHECK_FALSE(NeedsAnnouncement(announced, {}, kNow + 5000));
+  CHECK(NeedsAnnouncement(announced, { .m_perSecond = 8 }, kNow));
+  CHECK(NeedsAnnouncement(announced, { .m_leaving = true }, kNow));
+  announced.m_notice.m_perSecond = 8;
+  CHECK(NeedsAnnouncement(announced, {}, kNow));
+  CHECK_FALSE(NeedsAnnouncement(announced, { .m_perSecond = 4 }, kNow + 500));
+  CHECK(NeedsAnnouncement(announced, { .m_perSecond = 4 }, kNow + 1000));
+  CHECK_FALSE(NeedsAnnouncement(announced, { .m_perSecond = 8.5 }, kNow + 5000));
+}
--- a/modules/wire/include/Messages_generated.h
+++ b/modules/wire/include/Messages_generated.h
@@ -20,6 +20,10 @@
 struct HelloBuilder;
 struct HelloT;
 
+struct TargetNotice;
+struct TargetNoticeBuilder;
+struct TargetNoticeT;
+
 struct MemberEntry;
 struct MemberEntryBuilder;
 struct MemberEntryT;
@@ -869,6 +873,115 @@
 
 flatbuffers::Offset<Hello> CreateHello(flatbuffers::FlatBufferBuilder &_fbb, const HelloT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct TargetNoticeT : public flatbuffers::NativeTable {
+  typedef TargetNotice TableType;
+  std::string id{};
+  int64_t born_ms = 0;
+  double per_second = -1.0;
+  bool leaving = false;
+};
+
+/// What a target stated about itself, and the incarnation that did.
+struct TargetNotice FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef TargetNoticeT NativeTableType;
+  typedef TargetNoticeBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_BORN_MS = 6,
+    VT_PER_SECOND = 8,
+    VT_LEAVING = 10
+  };
+  const flatbuffers::String *id() const {
+    return GetPointer<const flatbuffers::String *>(VT_ID);
+  }
+  int64_t born_ms() const {
+    return GetField<int64_t>(VT_BORN_MS, 0);
+  }
+  /// Requests per second that it accepts from all nodes together; negative if it named no limit.
+  double per_second() const {
+    return GetField<double>(VT_PER_SECOND, -1.0);
+  }
+  bool leaving() const {
+    return GetField<uint8_t>(VT_LEAVING, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ID) &&
+           verifier.VerifyString(id()) &&
+           VerifyField<int64_t>(verifier, VT_BORN_MS, 8) &&
+           VerifyField<double>(verifier, VT_PER_SECOND, 8) &&
+           VerifyField<uint8_t>(verifier, VT_LEAVING, 1) &&
+           verifier.EndTable();
+  }
+  TargetNoticeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(TargetNoticeT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<TargetNotice> Pack(flatbuffers::FlatBufferBuilder &_fbb, const TargetNoticeT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct TargetNoticeBuilder {
+  typedef TargetNotice Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(flatbuffers::Offset<flatbuffers::String> id) {
+    fbb_.AddOffset(TargetNotice::VT_ID, id);
+  }
+  void add_born_ms(int64_t born_ms) {
+    fbb_.AddElement<int64_t>(TargetNotice::VT_BORN_MS, born_ms, 0);
+  }
+  void add_per_second(double per_second) {
+    fbb_.AddElement<double>(TargetNotice::VT_PER_SECOND, per_second, -1.0);
+  }
+  void add_leaving(bool leaving) {
+    fbb_.AddElement<uint8_t>(TargetNotice::VT_LEAVING, static_cast<uint8_t>(leaving), 0);
+  }
+  explicit TargetNoticeBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<TargetNotice> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<TargetNotice>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<TargetNotice> CreateTargetNotice(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> id = 0,
+    int64_t born_ms = 0,
+    double per_second = -1.0,
+    bool leaving = false) {
+  TargetNoticeBuilder builder_(_fbb);
+  builder_.add_per_second(per_second);
+  builder_.add_born_ms(born_ms);
+  builder_.add_id(id);
+  builder_.add_leaving(leaving);
+  return builder_.Finish();
+}
+
+struct TargetNotice::Traits {
+  using type = TargetNotice;
+  static auto constexpr Create = CreateTargetNotice;
+};
+
+inline flatbuffers::Offset<TargetNotice> CreateTargetNoticeDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *id = nullptr,
+    int64_t born_ms = 0,
+    double per_second = -1.0,
+    bool leaving = false) {
+  auto id__ = id ? _fbb.CreateString(id) : 0;
+  return sequoiastep::wire::CreateTargetNotice(
+      _fbb,
+      id__,
+      born_ms,
+      per_second,
+      leaving);
+}
+
+flatbuffers::Offset<TargetNotice> CreateTargetNotice(flatbuffers::FlatBufferBuilder &_fbb, const TargetNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct MemberEntryT : public flatbuffers::NativeTable {
   typedef MemberEntry TableType;
   std::string node{};
@@ -881,6 +994,7 @@
   std::string service{};
   uint16_t slots = 0;
   uint32_t warm_up_ms = 0;
+  double per_second = -1.0;
 };
 
 struct MemberEntry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -897,7 +1011,8 @@
     VT_FAILURE_DOMAIN = 16,
     VT_SERVICE = 18,
     VT_SLOTS = 20,
-    VT_WARM_UP_MS = 22
+    VT_WARM_UP_MS = 22,
+    VT_PER_SECOND = 24
   };
   const flatbuffers::String *node() const {
     return GetPointer<const flatbuffers::String *>(VT_NODE);
@@ -929,6 +1044,10 @@
   uint32_t warm_up_ms() const {
     return GetField<uint32_t>(VT_WARM_UP_MS, 0);
   }
+  /// As in TargetNotice.
+  double per_second() const {
+    return GetField<double>(VT_PER_SECOND, -1.0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NODE) &&
@@ -946,6 +1065,7 @@
            verifier.VerifyString(service()) &&
            VerifyField<uint16_t>(verifier, VT_SLOTS, 2) &&
            VerifyField<uint32_t>(verifier, VT_WARM_UP_MS, 4) &&
+           VerifyField<double>(verifier, VT_PER_SECOND, 8) &&
            verifier.EndTable();
   }
   MemberEntryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -987,6 +1107,9 @@
   void add_warm_up_ms(uint32_t warm_up_ms) {
     fbb_.AddElement<uint32_t>(MemberEntry::VT_WARM_UP_MS, warm_up_ms, 0);
   }
+  void add_per_second(double per_second) {
+    fbb_.AddElement<double>(MemberEntry::VT_PER_SECOND, per_second, -1.0);
+  }
   explicit MemberEntryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1009,8 +1132,10 @@
     flatbuffers::Offset<flatbuffers::String> failure_domain = 0,
     flatbuffers::Offset<flatbuffers::String> service = 0,
     uint16_t slots = 0,
-    uint32_t warm_up_ms = 0) {
+    uint32_t warm_up_ms = 0,
+    double per_second = -1.0) {
   MemberEntryBuilder builder_(_fbb);
+  builder_.add_per_second(per_second);
   builder_.add_incarnation(incarnation);
   builder_.add_warm_up_ms(warm_up_ms);
   builder_.add_service(service);
@@ -1040,7 +1165,8 @@
     const char *failure_domain = nullptr,
     const char *service = nullptr,
     uint16_t slots = 0,
-    uint32_t warm_up_ms = 0) {
+    uint32_t warm_up_ms = 0,
+    double per_second = -1.0) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto region__ = region ? _fbb.CreateString(region) : 0;
@@ -1057,7 +1183,8 @@
       failure_domain__,
       service__,
       slots,
-      warm_up_ms);
+      warm_up_ms,
+      per_second);
 }
 
 flatbuffers::Offset<MemberEntry> CreateMemberEntry(flatbuffers::FlatBufferBuilder &_fbb, const MemberEntryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -2682,6 +2809,7 @@
   int32_t objective_ms = 0;
   std::string route{};
   uint32_t most_wait_ms = 4294967295;
+  std::unique_ptr<sequoiastep::wire::TargetNoticeT> remembered{};
   CallT() = default;
   CallT(const CallT &o);
   CallT(CallT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2715,7 +2843,8 @@
     VT_PRIORITY = 42,
     VT_OBJECTIVE_MS = 44,
     VT_ROUTE = 46,
-    VT_MOST_WAIT_MS = 48
+    VT_MOST_WAIT_MS = 48,
+    VT_REMEMBERED = 50
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -2795,6 +2924,10 @@
   uint32_t most_wait_ms() const {
     return GetField<uint32_t>(VT_MOST_WAIT_MS, 4294967295);
   }
+  /// Notice of the receiver's target that the sender remembers; absent if it remembers none.
+  const sequoiastep::wire::TargetNotice *remembered() const {
+    return GetPointer<const sequoiastep::wire::TargetNotice *>(VT_REMEMBERED);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -2830,6 +2963,8 @@
            VerifyOffset(verifier, VT_ROUTE) &&
            verifier.VerifyString(route()) &&
            VerifyField<uint32_t>(verifier, VT_MOST_WAIT_MS, 4) &&
+           VerifyOffset(verifier, VT_REMEMBERED) &&
+           verifier.VerifyTable(remembered()) &&
            verifier.EndTable();
   }
   CallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -2910,6 +3045,9 @@
   void add_most_wait_ms(uint32_t most_wait_ms) {
     fbb_.AddElement<uint32_t>(Call::VT_MOST_WAIT_MS, most_wait_ms, 4294967295);
   }
+  void add_remembered(flatbuffers::Offset<sequoiastep::wire::TargetNotice> remembered) {
+    fbb_.AddOffset(Call::VT_REMEMBERED, remembered);
+  }
   explicit CallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -2945,7 +3083,8 @@
     uint32_t priority = 0,
     int32_t objective_ms = 0,
     flatbuffers::Offset<flatbuffers::String> route = 0,
-    uint32_t most_wait_ms = 4294967295) {
+    uint32_t most_wait_ms = 4294967295,
+    flatbuffers::Offset<sequoiastep::wire::TargetNotice> remembered = 0) {
   CallBuilder builder_(_fbb);
   builder_.add_sent_ms(sent_ms);
   builder_.add_parent_span(parent_span);
@@ -2953,6 +3092,7 @@
   builder_.add_trace_high(trace_high);
   builder_.add_version(version);
   builder_.add_id(id);
+  builder_.add_remembered(remembered);
   builder_.add_most_wait_ms(most_wait_ms);
   builder_.add_route(route);
   builder_.add_objective_ms(objective_ms);
@@ -3002,7 +3142,8 @@
     uint32_t priority = 0,
     int32_t objective_ms = 0,
     const char *route = nullptr,
-    uint32_t most_wait_ms = 4294967295) {
+    uint32_t most_wait_ms = 4294967295,
+    flatbuffers::Offset<sequoiastep::wire::TargetNotice> remembered = 0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto method__ = method ? _fbb.CreateString(method) : 0;
   auto target__ = target ? _fbb.CreateString(target) : 0;
@@ -3036,7 +3177,8 @@
       priority,
       objective_ms,
       route__,
-      most_wait_ms);
+      most_wait_ms,
+      remembered);
 }
 
 flatbuffers::Offset<Call> CreateCall(flatbuffers::FlatBufferBuilder &_fbb, const CallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3057,6 +3199,8 @@
   uint32_t held_us = 0;
   uint32_t service_us = 0;
   uint32_t ran_us = 0;
+  std::unique_ptr<sequoiastep::wire::TargetNoticeT> notice{};
+  uint32_t rate_wait_ms = 0;
   AnswerT() = default;
   AnswerT(const AnswerT &o);
   AnswerT(AnswerT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3081,7 +3225,9 @@
     VT_TIMED_OUT = 24,
     VT_HELD_US = 26,
     VT_SERVICE_US = 28,
-    VT_RAN_US = 30
+    VT_RAN_US = 30,
+    VT_NOTICE = 32,
+    VT_RATE_WAIT_MS = 34
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -3131,6 +3277,14 @@
   uint32_t ran_us() const {
     return GetField<uint32_t>(VT_RAN_US, 0);
   }
+  /// Notice of the target that is in force; absent if there is none and none was remembered.
+  const sequoiastep::wire::TargetNotice *notice() const {
+    return GetPointer<const sequoiastep::wire::TargetNotice *>(VT_NOTICE);
+  }
+  /// Time until the target's limit lets one more request pass, in milliseconds; 0 if at once.
+  uint32_t rate_wait_ms() const {
+    return GetField<uint32_t>(VT_RATE_WAIT_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -3151,6 +3305,9 @@
            VerifyField<uint32_t>(verifier, VT_HELD_US, 4) &&
            VerifyField<uint32_t>(verifier, VT_SERVICE_US, 4) &&
            VerifyField<uint32_t>(verifier, VT_RAN_US, 4) &&
+           VerifyOffset(verifier, VT_NOTICE) &&
+           verifier.VerifyTable(notice()) &&
+           VerifyField<uint32_t>(verifier, VT_RATE_WAIT_MS, 4) &&
            verifier.EndTable();
   }
   AnswerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3204,6 +3361,12 @@
   void add_ran_us(uint32_t ran_us) {
     fbb_.AddElement<uint32_t>(Answer::VT_RAN_US, ran_us, 0);
   }
+  void add_notice(flatbuffers::Offset<sequoiastep::wire::TargetNotice> notice) {
+    fbb_.AddOffset(Answer::VT_NOTICE, notice);
+  }
+  void add_rate_wait_ms(uint32_t rate_wait_ms) {
+    fbb_.AddElement<uint32_t>(Answer::VT_RATE_WAIT_MS, rate_wait_ms, 0);
+  }
   explicit AnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3230,9 +3393,13 @@
     bool timed_out = false,
     uint32_t held_us = 0,
     uint32_t service_us = 0,
-    uint32_t ran_us = 0) {
+    uint32_t ran_us = 0,
+    flatbuffers::Offset<sequoiastep::wire::TargetNotice> notice = 0,
+    uint32_t rate_wait_ms = 0) {
   AnswerBuilder builder_(_fbb);
   builder_.add_id(id);
+  builder_.add_rate_wait_ms(rate_wait_ms);
+  builder_.add_notice(notice);
   builder_.add_ran_us(ran_us);
   builder_.add_service_us(service_us);
   builder_.add_held_us(held_us);
@@ -3269,7 +3436,9 @@
     bool timed_out = false,
     uint32_t held_us = 0,
     uint32_t service_us = 0,
-    uint32_t ran_us = 0) {
+    uint32_t ran_us = 0,
+    flatbuffers::Offset<sequoiastep::wire::TargetNotice> notice = 0,
+    uint32_t rate_wait_ms = 0) {
   auto reason__ = reason ? _fbb.CreateString(reason) : 0;
   auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<sequoiastep::wire::Header>>(*headers) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
@@ -3288,7 +3457,9 @@
       timed_out,
       held_us,
       service_us,
-      ran_us);
+      ran_us,
+      notice,
+      rate_wait_ms);
 }
 
 flatbuffers::Offset<Answer> CreateAnswer(flatbuffers::FlatBufferBuilder &_fbb, const AnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3798,6 +3969,41 @@
       _sent_ms);
 }
 
+inline TargetNoticeT *TargetNotice::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<TargetNoticeT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void TargetNotice::UnPackTo(TargetNoticeT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = id(); if (_e) _o->id = _e->str(); }
+  { auto _e = born_ms(); _o->born_ms = _e; }
+  { auto _e = per_second(); _o->per_second = _e; }
+  { auto _e = leaving(); _o->leaving = _e; }
+}
+
+inline flatbuffers::Offset<TargetNotice> TargetNotice::Pack(flatbuffers::FlatBufferBuilder &_fbb, const TargetNoticeT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateTargetNotice(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<TargetNotice> CreateTargetNotice(flatbuffers::FlatBufferBuilder &_fbb, const TargetNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const TargetNoticeT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id.empty() ? 0 : _fbb.CreateString(_o->id);
+  auto _born_ms = _o->born_ms;
+  auto _per_second = _o->per_second;
+  auto _leaving = _o->leaving;
+  return sequoiastep::wire::CreateTargetNotice(
+      _fbb,
+      _id,
+      _born_ms,
+      _per_second,
+      _leaving);
+}
+
 inline MemberEntryT *MemberEntry::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<MemberEntryT>();
   UnPackTo(_o.get(), _resolver);
@@ -3817,6 +4023,7 @@
   { auto _e = service(); if (_e) _o->service = _e->str(); }
   { auto _e = slots(); _o->slots = _e; }
   { auto _e = warm_up_ms(); _o->warm_up_ms = _e; }
+  { auto _e = per_second(); _o->per_second = _e; }
 }
 
 inline flatbuffers::Offset<MemberEntry> MemberEntry::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MemberEntryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -3837,6 +4044,7 @@
   auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
   auto _slots = _o->slots;
   auto _warm_up_ms = _o->warm_up_ms;
+  auto _per_second = _o->per_second;
   return sequoiastep::wire::CreateMemberEntry(
       _fbb,
       _node,
@@ -3848,7 +4056,8 @@
       _failure_domain,
       _service,
       _slots,
-      _warm_up_ms);
+      _warm_up_ms,
+      _per_second);
 }
 
 inline JoinT *Join::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -4474,7 +4683,8 @@
         priority(o.priority),
         objective_ms(o.objective_ms),
         route(o.route),
-        most_wait_ms(o.most_wait_ms) {
+        most_wait_ms(o.most_wait_ms),
+        remembered((o.remembered) ? new sequoiastep::wire::TargetNoticeT(*o.remembered) : nullptr) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new sequoiastep::wire::HeaderT(*headers_) : nullptr); }
 }
@@ -4503,6 +4713,7 @@
   std::swap(objective_ms, o.objective_ms);
   std::swap(route, o.route);
   std::swap(most_wait_ms, o.most_wait_ms);
+  std::swap(remembered, o.remembered);
   return *this;
 }
 
@@ -4538,6 +4749,7 @@
   { auto _e = objective_ms(); _o->objective_ms = _e; }
   { auto _e = route(); if (_e) _o->route = _e->str(); }
   { auto _e = most_wait_ms(); _o->most_wait_ms = _e; }
+  { auto _e = remembered(); if (_e) _o->remembered = std::unique_ptr<sequoiastep::wire::TargetNoticeT>(_e->UnPack(_resolver)); }
 }
 
 inline flatbuffers::Offset<Call> Call::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4571,6 +4783,7 @@
   auto _objective_ms = _o->objective_ms;
   auto _route = _o->route.empty() ? 0 : _fbb.CreateString(_o->route);
   auto _most_wait_ms = _o->most_wait_ms;
+  auto _remembered = _o->remembered ? CreateTargetNotice(_fbb, _o->remembered.get(), _rehasher) : 0;
   return sequoiastep::wire::CreateCall(
       _fbb,
       _id,
@@ -4595,7 +4808,8 @@
       _priority,
       _objective_ms,
       _route,
-      _most_wait_ms);
+      _most_wait_ms,
+      _remembered);
 }
 
 inline AnswerT::AnswerT(const AnswerT &o)
@@ -4611,7 +4825,9 @@
         timed_out(o.timed_out),
         held_us(o.held_us),
         service_us(o.service_us),
-        ran_us(o.ran_us) {
+        ran_us(o.ran_us),
+        notice((o.notice) ? new sequoiastep::wire::TargetNoticeT(*o.notice) : nullptr),
+        rate_wait_ms(o.rate_wait_ms) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new sequoiastep::wire::HeaderT(*headers_) : nullptr); }
 }
@@ -4631,6 +4847,8 @@
   std::swap(held_us, o.held_us);
   std::swap(service_us, o.service_us);
   std::swap(ran_us, o.ran_us);
+  std::swap(notice, o.notice);
+  std::swap(rate_wait_ms, o.rate_wait_ms);
   return *this;
 }
 
@@ -4657,6 +4875,8 @@
   { auto _e = held_us(); _o->held_us = _e; }
   { auto _e = service_us(); _o->service_us = _e; }
   { auto _e = ran_us(); _o->ran_us = _e; }
+  { auto _e = notice(); if (_e) _o->notice = std::unique_ptr<sequoiastep::wire::TargetNoticeT>(_e->UnPack(_resolver)); }
+  { auto _e = rate_wait_ms(); _o->rate_wait_ms = _e; }
 }
 
 inline flatbuffers::Offset<Answer> Answer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4681,6 +4901,8 @@
   auto _held_us = _o->held_us;
   auto _service_us = _o->service_us;
   auto _ran_us = _o->ran_us;
+  auto _notice = _o->notice ? CreateTargetNotice(_fbb, _o->notice.get(), _rehasher) : 0;
+  auto _rate_wait_ms = _o->rate_wait_ms;
   return sequoiastep::wire::CreateAnswer(
       _fbb,
       _id,
@@ -4696,7 +4918,9 @@
       _timed_out,
       _held_us,
       _service_us,
-      _ran_us);
+      _ran_us,
+      _notice,
+      _rate_wait_ms);
 }
 
 inline CancelT *Cancel::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
