Refuse at once what would wait longer than the queue allows

Callers saw 503 after 500 ms (queue_ms) where the node knew at the offer that the wait is 1,300 ms (target-limit.sh, log of node 2: wait_ms=1302, elapsed_ms=507). Cause: the foreseen wait was compared with deadline and short wait, not with the queue's own bound. Change: Offer compares it too. The new test in RateLimiterTest fails without it. On the users' platform the bound is 60 s, longer than any deadline, so nothing changes there.

--- a/modules/routing/src/AdmissionQueue.cpp
+++ b/modules/routing/src/AdmissionQueue.cpp
@@ -175,7 +175,8 @@
   const WorkAhead ahead = WorkAheadOf(aQueue, waiting, aNow);
   const auto wait = static_cast<Milliseconds>(WaitAfterMs(aQueue, ahead, aNow));
   const bool rateLimited = DrainTimeMs(aQueue, ahead.m_workMs) < static_cast<double>(wait);
-  if (IsQueueFull(aQueue, aRequest.m_caller) || wait > aRequest.m_maxWaitMs ||
+  const Milliseconds maxWait = std::min(aRequest.m_maxWaitMs, aQueue.m_options.m_queueMs);
+  if (IsQueueFull(aQueue, aRequest.m_caller) || wait > maxWait ||
       aNow + wait >= aRequest.m_deadline) {
     return { .m_admission = Admission::Shed, .m_waitMs = wait, .m_rateLimited = rateLimited };
   }
--- a/modules/routing/tests/RateLimiterTest.cpp
+++ b/modules/routing/tests/RateLimiterTest.cpp
@@ -150,6 +150,15 @@
   CHECK(ProcessQueue(queue, kNow + 1000).m_run == std::vector<std::uint64_t>{ 3 });
 }
 
+TEST_CASE("a request that would wait longer than the queue allows is refused at once")
+{
+  AdmissionQueue queue{ .m_options = { .m_slots = 6, .m_queue = 64, .m_queueMs = 400 } };
+  SetRate(queue.m_rateLimiter, 2.0, kNow);
+  Offer(queue, { .m_id = 1, .m_deadline = kNow + 5000 }, kNow);
+  CHECK(Offer(queue, { .m_id = 2, .m_deadline = kNow + 5000 }, kNow).m_admission ==
+        Admission::Shed);
+}
+
 TEST_CASE("without a limit the rate holds nothing up, and a lower one takes effect at once")
 {
   RateLimiter limiter;
