Refuse at once what would be broken off at its deadline

Cause: the queue compared the foreseen start with the deadline, not the foreseen end. Change: offer and shedding compare the end, by the route's usual run time. The new test in RateLimiterTest fails without it.

--- a/modules/routing/src/AdmissionQueue.cpp
+++ b/modules/routing/src/AdmissionQueue.cpp
@@ -25,6 +25,13 @@
   return aNow + static_cast<Milliseconds>(ServiceMs(aQueue, aRequest)) <= aRequest.m_objective;
 }
 
+// True if the request probably ends before its deadline when it starts at aStart.
+bool
+EndsInTime(const AdmissionQueue& aQueue, const AdmissionRequest& aRequest, Instant aStart)
+{
+  return aStart + static_cast<Milliseconds>(ServiceMs(aQueue, aRequest)) < aRequest.m_deadline;
+}
+
 std::uint64_t
 LastServed(const AdmissionQueue& aQueue, const std::string& aCaller)
 {
@@ -133,7 +140,7 @@
   WorkAhead ahead;
   std::erase_if(aQueue.m_waiting, [&](const AdmissionRequest& aRequest) {
     const Instant start = aNow + static_cast<Milliseconds>(WaitAfterMs(aQueue, ahead, aNow));
-    if (aNow < aRequest.m_latestStart && start < aRequest.m_deadline) {
+    if (aNow < aRequest.m_latestStart && EndsInTime(aQueue, aRequest, start)) {
       AddWork(ahead, aQueue, aRequest);
       return false;
     }
@@ -177,7 +184,7 @@
   const bool rateLimited = DrainTimeMs(aQueue, ahead.m_workMs) < static_cast<double>(wait);
   const Milliseconds maxWait = std::min(aRequest.m_maxWaitMs, aQueue.m_options.m_queueMs);
   if (IsQueueFull(aQueue, aRequest.m_caller) || wait > maxWait ||
-      aNow + wait >= aRequest.m_deadline) {
+      !EndsInTime(aQueue, aRequest, aNow + wait)) {
     return { .m_admission = Admission::Shed, .m_waitMs = wait, .m_rateLimited = rateLimited };
   }
   waiting.m_latestStart = std::min(aNow + aQueue.m_options.m_queueMs, aRequest.m_deadline);
--- a/modules/routing/tests/RateLimiterTest.cpp
+++ b/modules/routing/tests/RateLimiterTest.cpp
@@ -159,6 +159,20 @@
         Admission::Shed);
 }
 
+TEST_CASE("a request that would be broken off at its deadline is refused at once")
+{
+  AdmissionQueue queue{ .m_options = { .m_slots = 1, .m_queue = 64, .m_queueMs = 60'000 } };
+  const auto offer = [&](std::uint64_t aId, Milliseconds aDeadlineMs) {
+    return Offer(
+             queue, { .m_id = aId, .m_serviceUs = 100'000, .m_deadline = kNow + aDeadlineMs }, kNow)
+      .m_admission;
+  };
+  SetRate(queue.m_rateLimiter, 2.0, kNow);
+  CHECK(offer(1, 1000) == Admission::Run);
+  CHECK(offer(2, 590) == Admission::Shed);
+  CHECK(offer(3, 610) == Admission::Wait);
+}
+
 TEST_CASE("without a limit the rate holds nothing up, and a lower one takes effect at once")
 {
   RateLimiter limiter;
