--- a/tools/StandInLog.cpp
+++ b/tools/StandInLog.cpp
@@ -1,6 +1,7 @@
 // A test stand-in for the platform's store. Topics are held in memory, one partition each. It
 // supports long polling with a bounded wait, the newest record of each key, limited retention, a
-// limit on append requests per second, and fault injection through POST /admin/v1/faults.
+// limit on append requests per second, and fault injection through POST /admin/v1/faults. It can be
+// restored from an earlier copy of itself; POST /admin/v1/append writes also during an outage.
 #include "Address.h"
 #include "Base64.h"
 #include "Clock.h"
@@ -166,7 +167,16 @@
   {
   }
 
+  /// Every response names the era, which rises with each restore.
   Awaitable<HttpResponse> Handle(HttpRequest aRequest)
+  {
+    HttpResponse response = co_await HandleInEra(std::move(aRequest));
+    response.set("Store-Era", std::to_string(m_era));
+    co_return response;
+  }
+
+private:
+  Awaitable<HttpResponse> HandleInEra(HttpRequest aRequest)
   {
     const std::string path(net::PathOf(aRequest.target()));
     if (path == "/admin/v1/faults") {
@@ -177,6 +187,13 @@
         http::status::ok,
         { { "reads", m_reads }, { "appends", m_appendedRecords }, { "read_bytes", m_readBytes } });
     }
+    if (path == "/admin/v1/append") {
+      const std::string appendTarget(aRequest.target());
+      const auto records = SplitRecords(aRequest.body());
+      co_return records
+        ? AppendNow(net::QueryValue(appendTarget, "topic", ""), appendTarget, *records)
+        : JsonResponse(http::status::bad_request, { { "why", "the records are malformed" } });
+    }
     if (m_faults.m_silent) {
       co_await Sleep(kNoResponseMs);
     }
@@ -211,7 +228,6 @@
     co_return JsonResponse(http::status::not_found, { { "why", "no such endpoint" } });
   }
 
-private:
   Awaitable<void> Sleep(Milliseconds aDelay)
   {
     asio::steady_timer timer(m_context, std::chrono::milliseconds(aDelay));
@@ -243,6 +259,13 @@
     number("lose_answers", m_faults.m_loseAnswers);
     number("late_appends", m_faults.m_lateAppends);
     number("late_ms", m_faults.m_lateMs);
+    if (object.contains("copy")) {
+      m_copy = m_topics;
+    }
+    if (object.contains("restore")) {
+      m_topics = m_copy;
+      ++m_era;
+    }
     if (object.contains("compact")) {
       for (auto& [name, topic] : m_topics) {
         Trim(topic, topic.EndOffset());
@@ -369,12 +392,12 @@
       static_cast<Milliseconds>(std::stoull(net::QueryValue(aTarget, "wait_ms", "0")));
     ++m_reads;
     const Instant start = Clock::Now();
-    while (m_topics[aName].EndOffset() <= from && Clock::Now() - start < waitMs &&
+    while (m_topics[aName].EndOffset() == from && Clock::Now() - start < waitMs &&
            !m_faults.m_outage) {
       co_await Sleep(kReadPollMs);
     }
     const Topic& topic = m_topics[aName];
-    if (from < topic.m_firstOffset) {
+    if (from < topic.m_firstOffset || from > topic.EndOffset()) {
       co_return JsonResponse(http::status::gone, { { "first", topic.m_firstOffset } });
     }
     std::string body =
@@ -411,6 +434,9 @@
   asio::io_context& m_context;
   LogOptions m_options;
   std::map<std::string, Topic> m_topics;
+  /// What a restore brings back.
+  std::map<std::string, Topic> m_copy;
+  std::uint64_t m_era = 1;
   Faults m_faults;
   Instant m_windowStart;
   std::uint64_t m_appendsInWindow = 0;
--- a/tools/mesh.sh
+++ b/tools/mesh.sh
@@ -39,14 +39,14 @@
 peer_of() { echo "127.0.0.1:$(port "$1" 3)"; }
 target_of() { echo "127.0.0.1:$(port "$1" 4)"; }
 
-# start_node N NAME REGION DOMAIN [EXTRA_JSON]
+# start_node N NAME REGION DOMAIN [EXTRA_JSON]; PLATFORM_EXTRA adds settings of the platform.
 start_node() {
   local n=$1 name=$2 region=$3 domain=$4 extra=${5:-}
   cat >"$MESH_DIR/$name.json" <<EOF
 {"mesh":"demo","node":"$name","region":"$region","failure_domain":"$domain",
  "caller":{"listen":"$(caller_of "$n")"},"target":{"listen":"$(announce_of "$n")"},
  "admin":{"listen":"$(admin_of "$n")"},"peer":{"listen":"$(peer_of "$n")"},
- "platform":{"log":"$LOG_ADDRESS"}$extra}
+ "platform":{"log":"$LOG_ADDRESS"${PLATFORM_EXTRA:-}}$extra}
 EOF
   start_process "$name" "$BIN/sequoiastep" node --settings "$MESH_DIR/$name.json"
   NODE_PID[$n]=$LAST_PID
