Read the operator's record anew when the store was restored

What callers would see: an older configuration for as long as no further change comes (store-restored.sh: version 4 not in force on any of three nodes after 5 s). Cause: a reader goes on at its offset. A store that comes back from a copy gives offsets out again, so an offset of before may lie beyond records that were never read. Class: a position used across a loss of what it counts. The check for a topic that ends before the offset sees the loss only until as many records are written again.

--- a/modules/distribution/include/TopicFollower.h
+++ b/modules/distribution/include/TopicFollower.h
@@ -17,6 +17,8 @@
 {
   /// Offset of the next record; nothing if the newest records must be read first.
   std::optional<std::uint64_t> m_next;
+  /// Era of the log in which m_next was learnt; see UpdateFollower.
+  std::uint64_t m_era = 0;
   /// Delay after the last read; 0 if it succeeded.
   Milliseconds m_backoffMs = 0;
 };
@@ -32,13 +34,21 @@
   Failed,
 };
 
-/// Updates the position and backoff after a read.
-/// @param aNext offset after the last record read; used only if the read succeeded.
+/// Result of one read.
+struct TopicRead
+{
+  TopicReadOutcome m_outcome = TopicReadOutcome::Failed;
+  /// Offset after the last record read; used only if the read succeeded.
+  std::uint64_t m_next = 0;
+  /// Era of the log in the answer; 0 if the log names none.
+  std::uint64_t m_era = 0;
+};
+
+/// Updates the position and backoff after a read. In a new era the log was restored from a copy and
+/// assigns offsets again, so a position of an earlier era may lie beyond records never read: the
+/// newest records are read first.
 /// @return how long to wait before the next read, in milliseconds.
 Milliseconds
-UpdateFollower(TopicFollower& aFollower,
-               TopicReadOutcome aOutcome,
-               std::uint64_t aNext,
-               Random& aRandom);
+UpdateFollower(TopicFollower& aFollower, const TopicRead& aRead, Random& aRandom);
 
 } // namespace sequoiastep::distribution
--- a/modules/distribution/src/TopicFollower.cpp
+++ b/modules/distribution/src/TopicFollower.cpp
@@ -9,20 +9,24 @@
 constexpr Milliseconds kMinBackoffMs = 50;
 constexpr Milliseconds kMaxBackoffMs = 1000;
 
+// True if the follower's position means nothing in the topic that answered: the topic ends before
+// it, or the log was restored since.
+bool
+MustStartOver(const TopicFollower& aFollower, const TopicRead& aRead)
+{
+  return aFollower.m_next && (aRead.m_next < *aFollower.m_next || aRead.m_era != aFollower.m_era);
+}
+
 } // namespace
 
 Milliseconds
-UpdateFollower(TopicFollower& aFollower,
-               TopicReadOutcome aOutcome,
-               std::uint64_t aNext,
-               Random& aRandom)
+UpdateFollower(TopicFollower& aFollower, const TopicRead& aRead, Random& aRandom)
 {
-  switch (aOutcome) {
+  switch (aRead.m_outcome) {
     case TopicReadOutcome::Succeeded:
-      // A topic that ends before the follower's offset was created anew: start over.
-      aFollower.m_next = aFollower.m_next && aNext < *aFollower.m_next
-                           ? std::optional<std::uint64_t>()
-                           : std::optional(aNext);
+      aFollower.m_next = MustStartOver(aFollower, aRead) ? std::optional<std::uint64_t>()
+                                                         : std::optional(aRead.m_next);
+      aFollower.m_era = aRead.m_era;
       aFollower.m_backoffMs = 0;
       return 0;
     case TopicReadOutcome::Expired:
--- a/modules/node/src/OperatorConfigSource.cpp
+++ b/modules/node/src/OperatorConfigSource.cpp
@@ -11,6 +11,7 @@
 namespace sequoiastep::node {
 
 namespace asio = net::asio;
+using distribution::TopicRead;
 using distribution::TopicReadOutcome;
 using net::Awaitable;
 using net::kAsTuple;
@@ -34,6 +35,32 @@
     });
 }
 
+TopicReadOutcome
+OutcomeOf(platform::ReadStatus aStatus)
+{
+  switch (aStatus) {
+    case platform::ReadStatus::Ok:
+      return TopicReadOutcome::Succeeded;
+    case platform::ReadStatus::Expired:
+      return TopicReadOutcome::Expired;
+    case platform::ReadStatus::Failed:
+      break;
+  }
+  return TopicReadOutcome::Failed;
+}
+
+void
+LogIfRestored(const distribution::TopicFollower& aFollower, const TopicRead& aRead)
+{
+  if (aFollower.m_era != 0 && aRead.m_era > aFollower.m_era) {
+    LogLine(LogLevel::Warning, "store_restored")
+      .Add("era", aRead.m_era)
+      .Add("before", aFollower.m_era)
+      .Add("topic", adapter::kOperatorTopic)
+      .Add("next", aFollower.m_next.value_or(0));
+  }
+}
+
 } // namespace
 
 OperatorConfigSource::OperatorConfigSource(asio::io_context& aContext,
@@ -108,8 +135,8 @@
   co_await timer.async_wait(kAsTuple);
 }
 
-Awaitable<TopicReadOutcome>
-OperatorConfigSource::ReadOnce(std::uint64_t& aNext)
+Awaitable<TopicRead>
+OperatorConfigSource::ReadOnce()
 {
   const std::string topic(adapter::kOperatorTopic);
   if (!m_follower.m_next) {
@@ -118,24 +145,24 @@
     for (const platform::KeyedEntry& entry : newest.m_entries) {
       HandleEntry(entry);
     }
-    aNext = newest.m_next;
-    co_return newest.m_ok ? TopicReadOutcome::Succeeded : TopicReadOutcome::Failed;
+    co_return TopicRead{ .m_outcome =
+                           newest.m_ok ? TopicReadOutcome::Succeeded : TopicReadOutcome::Failed,
+                         .m_next = newest.m_next,
+                         .m_era = newest.m_era };
   }
   const std::uint64_t from = *m_follower.m_next;
+  // After a failure the first answer must come at once: it tells whether the store was restored.
+  const Milliseconds waitMs = m_follower.m_backoffMs > 0 ? 0 : kReadWaitMs;
   auto read = co_await AwaitLogReply<platform::ReadReply>(
-    m_context, [&](auto aHandler) { m_log.Read(topic, from, kReadWaitMs, aHandler); });
-  aNext = from;
+    m_context, [&](auto aHandler) { m_log.Read(topic, from, waitMs, aHandler); });
+  TopicRead result{ .m_outcome = OutcomeOf(read.m_status), .m_next = from, .m_era = read.m_era };
   for (const platform::LogEntry& entry : read.m_entries) {
-    aNext = entry.m_offset + 1;
+    result.m_next = entry.m_offset + 1;
     if (const auto keyed = adapter::DecodeKeyed(entry)) {
       HandleEntry(*keyed);
     }
   }
-  if (read.m_status == platform::ReadStatus::Expired) {
-    co_return TopicReadOutcome::Expired;
-  }
-  co_return read.m_status == platform::ReadStatus::Ok ? TopicReadOutcome::Succeeded
-                                                      : TopicReadOutcome::Failed;
+  co_return result;
 }
 
 Awaitable<void>
@@ -148,10 +175,10 @@
       co_await Sleep(kRecheckIntervalMs);
       continue;
     }
-    std::uint64_t next = 0;
-    const TopicReadOutcome outcome = co_await ReadOnce(next);
-    SetStoreReachable(outcome != TopicReadOutcome::Failed);
-    const Milliseconds delay = distribution::UpdateFollower(m_follower, outcome, next, m_random);
+    const TopicRead read = co_await ReadOnce();
+    SetStoreReachable(read.m_outcome != TopicReadOutcome::Failed);
+    LogIfRestored(m_follower, read);
+    const Milliseconds delay = distribution::UpdateFollower(m_follower, read, m_random);
     if (delay > 0) {
       co_await Sleep(delay);
     }
--- a/modules/node/src/OperatorConfigSource.h
+++ b/modules/node/src/OperatorConfigSource.h
@@ -43,7 +43,7 @@
 
 private:
   net::Awaitable<void> Follow();
-  net::Awaitable<distribution::TopicReadOutcome> ReadOnce(std::uint64_t& aNext);
+  net::Awaitable<distribution::TopicRead> ReadOnce();
   net::Awaitable<void> Sleep(Milliseconds aDelay);
   void HandleEntry(const platform::KeyedEntry& aEntry);
   void SetStoreReachable(bool aReachable);
--- a/modules/platform/include/LogTypes.h
+++ b/modules/platform/include/LogTypes.h
@@ -35,6 +35,9 @@
   std::uint64_t m_first = 0;
   /// Offset that the topic will assign to its next record; nothing if the log did not report it.
   std::optional<std::uint64_t> m_next;
+  /// Era of the log, which rises when it was restored from a copy: records may be lost then, and
+  /// their offsets are assigned again. 0 if the log names none.
+  std::uint64_t m_era = 0;
 };
 
 /// The newest record of one key. An empty value means that the key was deleted.
@@ -55,6 +58,8 @@
   std::uint64_t m_next = 0;
   /// True if more keys follow after that of the last entry.
   bool m_hasMore = false;
+  /// As in ReadReply; of the first page.
+  std::uint64_t m_era = 0;
 };
 
 /// How an append ended.
--- a/modules/platform/src/LogClient.cpp
+++ b/modules/platform/src/LogClient.cpp
@@ -164,6 +164,7 @@
       // Records appended while later pages are read lie at or after the end offset of the first
       // page, so reading on from there misses none of them.
       combined.m_next = page.m_next;
+      combined.m_era = page.m_era;
     }
     combined.m_ok = true;
     combined.m_hasMore = page.m_hasMore;
