Write the directory entries again when the store was restored

What callers would see: a node that starts after a restore finds nobody and is found by nobody, so its callers reach no target of other nodes (store-restored.sh: members of the new node and of the others unlinked after 15 s). Cause: each node writes its entry once, at its start. A copy older than that lacks it. Change: the era in the store's answers goes into the controller; a node keeps the era in which its entry was confirmed, tells the newest era it knows in heartbeats, and writes its entry again, spread over half a second, once it learns of a newer one. OperatorTest plays two restores on twelve nodes, of which one learns of the era: all entries are back, and no request follows in the next 10 s. The new field of the heartbeat is appended, so that old and new nodes understand each other.

--- a/modules/distribution/include/Controller.h
+++ b/modules/distribution/include/Controller.h
@@ -242,6 +242,10 @@
   Instant m_lastCheckpointAt;
   std::uint32_t m_recordsSinceCheckpoint = 0;
   Instant m_nextDirectoryWrite;
+  /// Newest era of the store that this node knows, and the one in which its entry in the directory
+  /// was confirmed; 0 before that, and if the store names none.
+  std::uint64_t m_storeEra = 0;
+  std::uint64_t m_directoryEra = 0;
   Instant m_nextGoneProbe;
   Instant m_nextGoneCheck;
 
--- a/modules/distribution/include/Events.h
+++ b/modules/distribution/include/Events.h
@@ -89,6 +89,8 @@
 {
   /// False if the log did not confirm the write.
   bool m_ok = false;
+  /// Era of the log in its answer; 0 if it names none.
+  std::uint64_t m_era = 0;
 };
 
 /// Result of ReadDirectory: the newest entry of each node.
@@ -148,7 +150,10 @@
 
 /// The platform's store answered a read by this node.
 struct StoreAnswered
-{};
+{
+  /// Era of the store, which rises when it was restored from a copy; 0 if it names none.
+  std::uint64_t m_era = 0;
+};
 
 /// A call arrived that an earlier hop had routed by a newer version than this node holds.
 struct VersionWanted
--- a/modules/distribution/src/Controller.cpp
+++ b/modules/distribution/src/Controller.cpp
@@ -134,7 +134,7 @@
   {
     HandleOperatorRecordApplied(m_context, aEvent);
   }
-  void operator()(const StoreAnswered&) { HandleStoreAnswered(m_context); }
+  void operator()(const StoreAnswered& aEvent) { HandleStoreAnswered(m_context, aEvent); }
   void operator()(const VersionWanted& aEvent) { HandleVersionWanted(m_context, aEvent); }
   void operator()(const DrainRequested&) { HandleDrainRequested(m_context); }
   void operator()(const LeaveRequested&) { HandleLeaveRequested(m_context); }
--- a/modules/distribution/src/ControllerDirectory.cpp
+++ b/modules/distribution/src/ControllerDirectory.cpp
@@ -16,6 +16,8 @@
 constexpr Milliseconds kDirectoryBackoffMinMs = 300;
 constexpr Milliseconds kDirectoryBackoffMaxMs = 4000;
 constexpr Milliseconds kDirectoryDialIntervalMs = 500;
+// The nodes spread their writes after a restore of the store over this time.
+constexpr std::uint64_t kRewriteSpreadMs = 500;
 // Random nodes dialled at once: enough that nodes which start together form one connected group.
 constexpr std::size_t kOwnRegionDials = 6;
 constexpr std::size_t kOtherRegionDials = 2;
@@ -138,8 +140,34 @@
   controller.m_directoryRetryAt = aContext.m_now + controller.m_directoryBackoffMs;
 }
 
+// The entry may be lost if the store was restored after it was confirmed.
+void
+ScheduleRewriteIfLost(StepContext& aContext)
+{
+  Controller& controller = aContext.m_controller;
+  if (controller.m_directoryEra < controller.m_storeEra) {
+    const auto delay = static_cast<Milliseconds>(controller.m_random.Below(kRewriteSpreadMs));
+    controller.m_nextDirectoryWrite =
+      std::min(controller.m_nextDirectoryWrite, aContext.m_now + delay);
+  }
+}
+
 } // namespace
 
+void
+LearnStoreEra(StepContext& aContext, std::uint64_t aEra)
+{
+  Controller& controller = aContext.m_controller;
+  if (aEra <= controller.m_storeEra) {
+    return;
+  }
+  controller.m_storeEra = aEra;
+  for (auto& [node, link] : controller.m_links) {
+    link.m_heartbeatDue = true;
+  }
+  ScheduleRewriteIfLost(aContext);
+}
+
 void
 HandleDirectoryWritten(StepContext& aContext, const DirectoryWritten& aWritten)
 {
@@ -151,6 +179,9 @@
     return;
   }
   controller.m_nextDirectoryWrite = aContext.m_now + controller.m_options.m_directoryEveryMs;
+  controller.m_directoryEra = aWritten.m_era;
+  LearnStoreEra(aContext, aWritten.m_era);
+  ScheduleRewriteIfLost(aContext);
   controller.m_directoryReadDue = true;
   controller.m_directoryBackoffMs = 0;
   controller.m_directoryRetryAt = aContext.m_now;
--- a/modules/distribution/src/ControllerHeartbeat.cpp
+++ b/modules/distribution/src/ControllerHeartbeat.cpp
@@ -215,6 +215,7 @@
   PullIfBehind(aContext, aNode);
   link.m_peerOperatorVersion = std::max(link.m_peerOperatorVersion, aHeartbeat.operator_version);
   PullOperatorIfBehind(aContext, aNode, link);
+  LearnStoreEra(aContext, aHeartbeat.store_era);
 }
 
 void
@@ -228,6 +229,7 @@
   heartbeat.log_contact_age_ms = LogContactAge(controller, aContext.m_now);
   heartbeat.echo = aEcho;
   heartbeat.operator_version = HeldOperatorVersion(controller);
+  heartbeat.store_era = controller.m_storeEra;
   AddSummaries(aContext, aNode, aLink, heartbeat);
   aLink.m_heartbeatDue = false;
   aLink.m_heartbeatSentAt = aContext.m_now;
--- a/modules/distribution/src/ControllerOperator.cpp
+++ b/modules/distribution/src/ControllerOperator.cpp
@@ -92,9 +92,10 @@
 }
 
 void
-HandleStoreAnswered(StepContext& aContext)
+HandleStoreAnswered(StepContext& aContext, const StoreAnswered& aAnswer)
 {
   aContext.m_controller.m_lastLogContact = aContext.m_now;
+  LearnStoreEra(aContext, aAnswer.m_era);
 }
 
 void
--- a/modules/distribution/tests/FakeMesh.cpp
+++ b/modules/distribution/tests/FakeMesh.cpp
@@ -312,8 +312,9 @@
     if (written) {
       m_log.m_directory[aNode] = directory->m_entry;
     }
-    Schedule(m_log.m_delayMs,
-             [this, aNode, written] { Feed(aNode, DirectoryWritten{ .m_ok = written }); });
+    Schedule(m_log.m_delayMs, [this, aNode, written, era = m_log.m_era] {
+      Feed(aNode, DirectoryWritten{ .m_ok = written, .m_era = era });
+    });
   } else if (const auto* record = std::get_if<ApplyOperatorRecord>(&aAction)) {
     AcceptOperatorRecord(aNode, record->m_text, record->m_from);
   } else if (const auto* answer = std::get_if<AnswerPublish>(&aAction)) {
--- a/modules/distribution/tests/FakeMesh.h
+++ b/modules/distribution/tests/FakeMesh.h
@@ -22,6 +22,8 @@
   std::vector<std::string> m_config;
   std::vector<std::string> m_checkpoints;
   std::map<std::string, DirectoryEntry> m_directory;
+  /// Rises with each restore from a copy; 0 for a log without eras.
+  std::uint64_t m_era = 0;
   /// Records of the configuration stream below this offset have expired.
   std::uint64_t m_first = 0;
   bool m_outage = false;
--- a/modules/distribution/tests/OperatorTest.cpp
+++ b/modules/distribution/tests/OperatorTest.cpp
@@ -139,3 +139,23 @@
   mesh.Run(2000);
   CHECK(ShouldReadOperatorRecord(mesh.Node(isolated).m_controller, mesh.Now()));
 }
+
+TEST_CASE("after a restore of the store every node's directory entry is written again, once")
+{
+  FakeMesh mesh(5);
+  mesh.Defaults().m_followPublications = false;
+  mesh.Log().m_era = 1;
+  mesh.AddNodes(12);
+  REQUIRE(mesh.RunUntil([&] { return mesh.AllKnowEachOther(); }, kStartLimitMs));
+  mesh.Run(3000);
+  for (int restore = 0; restore < 2; ++restore) {
+    mesh.Log().m_directory.clear();
+    ++mesh.Log().m_era;
+    mesh.Feed(mesh.ReaderOf("east"), StoreAnswered{ .m_era = mesh.Log().m_era });
+    CHECK(mesh.RunUntil([&] { return mesh.Log().m_directory.size() == 12; }, 10'000));
+    mesh.Run(2000);
+    const std::uint64_t requests = mesh.Log().m_requests;
+    mesh.Run(10'000);
+    CHECK(mesh.Log().m_requests == requests);
+  }
+}
--- a/modules/node/src/ControlPlane.cpp
+++ b/modules/node/src/ControlPlane.cpp
@@ -207,7 +207,7 @@
       DirectoryText(aAction.m_entry),
       [plane = &m_controlPlane](const platform::AppendReply& aReply) {
         const bool ok = aReply.m_status == platform::AppendStatus::Appended;
-        plane->Post(distribution::DirectoryWritten{ .m_ok = ok });
+        plane->Post(distribution::DirectoryWritten{ .m_ok = ok, .m_era = aReply.m_era });
       });
   }
   void operator()(const distribution::ApplyOperatorRecord& aAction) const
--- a/modules/node/src/OperatorConfigSource.cpp
+++ b/modules/node/src/OperatorConfigSource.cpp
@@ -115,15 +115,16 @@
 }
 
 void
-OperatorConfigSource::SetStoreReachable(bool aReachable)
+OperatorConfigSource::RecordStoreContact(const TopicRead& aRead)
 {
-  if (aReachable) {
-    m_hooks.m_feed(distribution::StoreAnswered{});
+  const bool reachable = aRead.m_outcome != TopicReadOutcome::Failed;
+  if (reachable) {
+    m_hooks.m_feed(distribution::StoreAnswered{ .m_era = aRead.m_era });
   }
-  if (aReachable != m_storeReachable) {
-    m_storeReachable = aReachable;
-    LogLine(aReachable ? LogLevel::Info : LogLevel::Warning,
-            aReachable ? "store_regained" : "store_lost")
+  if (reachable != m_storeReachable) {
+    m_storeReachable = reachable;
+    LogLine(reachable ? LogLevel::Info : LogLevel::Warning,
+            reachable ? "store_regained" : "store_lost")
       .Add("topic", adapter::kOperatorTopic);
   }
 }
@@ -176,7 +177,7 @@
       continue;
     }
     const TopicRead read = co_await ReadOnce();
-    SetStoreReachable(read.m_outcome != TopicReadOutcome::Failed);
+    RecordStoreContact(read);
     LogIfRestored(m_follower, read);
     const Milliseconds delay = distribution::UpdateFollower(m_follower, read, m_random);
     if (delay > 0) {
--- a/modules/node/src/OperatorConfigSource.h
+++ b/modules/node/src/OperatorConfigSource.h
@@ -46,7 +46,7 @@
   net::Awaitable<distribution::TopicRead> ReadOnce();
   net::Awaitable<void> Sleep(Milliseconds aDelay);
   void HandleEntry(const platform::KeyedEntry& aEntry);
-  void SetStoreReachable(bool aReachable);
+  void RecordStoreContact(const distribution::TopicRead& aRead);
 
   net::asio::io_context& m_context;
   platform::LogClient& m_log;
--- a/modules/platform/include/LogTypes.h
+++ b/modules/platform/include/LogTypes.h
@@ -77,6 +77,8 @@
 {
   AppendStatus m_status = AppendStatus::Unknown;
   std::uint64_t m_offset = 0;
+  /// As in ReadReply.
+  std::uint64_t m_era = 0;
 };
 
 } // namespace sequoiastep::platform
--- a/modules/wire/include/Messages_generated.h
+++ b/modules/wire/include/Messages_generated.h
@@ -1501,6 +1501,7 @@
   std::vector<std::unique_ptr<sequoiastep::wire::DomainSummaryT>> domains{};
   uint64_t echo = 0;
   uint64_t operator_version = 0;
+  uint64_t store_era = 0;
   HeartbeatT() = default;
   HeartbeatT(const HeartbeatT &o);
   HeartbeatT(HeartbeatT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1519,7 +1520,8 @@
     VT_SUBTREE = 12,
     VT_DOMAINS = 14,
     VT_ECHO = 16,
-    VT_OPERATOR_VERSION = 18
+    VT_OPERATOR_VERSION = 18,
+    VT_STORE_ERA = 20
   };
   uint64_t applied() const {
     return GetField<uint64_t>(VT_APPLIED, 0);
@@ -1546,6 +1548,10 @@
   uint64_t operator_version() const {
     return GetField<uint64_t>(VT_OPERATOR_VERSION, 0);
   }
+  /// Newest era of the store that the sender knows; 0 if none.
+  uint64_t store_era() const {
+    return GetField<uint64_t>(VT_STORE_ERA, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_APPLIED, 8) &&
@@ -1559,6 +1565,7 @@
            verifier.VerifyVectorOfTables(domains()) &&
            VerifyField<uint64_t>(verifier, VT_ECHO, 8) &&
            VerifyField<uint64_t>(verifier, VT_OPERATOR_VERSION, 8) &&
+           VerifyField<uint64_t>(verifier, VT_STORE_ERA, 8) &&
            verifier.EndTable();
   }
   HeartbeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1594,6 +1601,9 @@
   void add_operator_version(uint64_t operator_version) {
     fbb_.AddElement<uint64_t>(Heartbeat::VT_OPERATOR_VERSION, operator_version, 0);
   }
+  void add_store_era(uint64_t store_era) {
+    fbb_.AddElement<uint64_t>(Heartbeat::VT_STORE_ERA, store_era, 0);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1614,8 +1624,10 @@
     flatbuffers::Offset<sequoiastep::wire::DomainSummary> subtree = 0,
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sequoiastep::wire::DomainSummary>>> domains = 0,
     uint64_t echo = 0,
-    uint64_t operator_version = 0) {
+    uint64_t operator_version = 0,
+    uint64_t store_era = 0) {
   HeartbeatBuilder builder_(_fbb);
+  builder_.add_store_era(store_era);
   builder_.add_operator_version(operator_version);
   builder_.add_echo(echo);
   builder_.add_member_digest(member_digest);
@@ -1641,7 +1653,8 @@
     flatbuffers::Offset<sequoiastep::wire::DomainSummary> subtree = 0,
     const std::vector<flatbuffers::Offset<sequoiastep::wire::DomainSummary>> *domains = nullptr,
     uint64_t echo = 0,
-    uint64_t operator_version = 0) {
+    uint64_t operator_version = 0,
+    uint64_t store_era = 0) {
   auto domains__ = domains ? _fbb.CreateVector<flatbuffers::Offset<sequoiastep::wire::DomainSummary>>(*domains) : 0;
   return sequoiastep::wire::CreateHeartbeat(
       _fbb,
@@ -1652,7 +1665,8 @@
       subtree,
       domains__,
       echo,
-      operator_version);
+      operator_version,
+      store_era);
 }
 
 flatbuffers::Offset<Heartbeat> CreateHeartbeat(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4183,7 +4197,8 @@
         log_contact_age_ms(o.log_contact_age_ms),
         subtree((o.subtree) ? new sequoiastep::wire::DomainSummaryT(*o.subtree) : nullptr),
         echo(o.echo),
-        operator_version(o.operator_version) {
+        operator_version(o.operator_version),
+        store_era(o.store_era) {
   domains.reserve(o.domains.size());
   for (const auto &domains_ : o.domains) { domains.emplace_back((domains_) ? new sequoiastep::wire::DomainSummaryT(*domains_) : nullptr); }
 }
@@ -4197,6 +4212,7 @@
   std::swap(domains, o.domains);
   std::swap(echo, o.echo);
   std::swap(operator_version, o.operator_version);
+  std::swap(store_era, o.store_era);
   return *this;
 }
 
@@ -4217,6 +4233,7 @@
   { auto _e = domains(); if (_e) { _o->domains.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->domains[_i] = std::unique_ptr<sequoiastep::wire::DomainSummaryT>(_e->Get(_i)->UnPack(_resolver)); } } }
   { auto _e = echo(); _o->echo = _e; }
   { auto _e = operator_version(); _o->operator_version = _e; }
+  { auto _e = store_era(); _o->store_era = _e; }
 }
 
 inline flatbuffers::Offset<Heartbeat> Heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4235,6 +4252,7 @@
   auto _domains = _o->domains.size() ? _fbb.CreateVector<flatbuffers::Offset<sequoiastep::wire::DomainSummary>> (_o->domains.size(), [](size_t i, _VectorArgs *__va) { return CreateDomainSummary(*__va->__fbb, __va->__o->domains[i].get(), __va->__rehasher); }, &_va ) : 0;
   auto _echo = _o->echo;
   auto _operator_version = _o->operator_version;
+  auto _store_era = _o->store_era;
   return sequoiastep::wire::CreateHeartbeat(
       _fbb,
       _applied,
@@ -4244,7 +4262,8 @@
       _subtree,
       _domains,
       _echo,
-      _operator_version);
+      _operator_version,
+      _store_era);
 }
 
 inline MemberUpdateT::MemberUpdateT(const MemberUpdateT &o) {
