Bound the memory that a target's endless bytes take

What callers would see: a node beyond its memory limit is killed, and all its calls with it. Cause: only the header and a body of 64 MB were bounded. The size line of a chunk, its extensions and trailers grew the read buffer without end (the new test: 427, 521 and 218 MB were taken until its iterations ended), interim responses were read without end, and six bodies of 64 MB at once are more than a node has. An answer over 16 MB would not have fitted into a frame between nodes either. Change: 128 KB for what is not body, eight interim responses, 8 MB for one body, 16 MB for all bodies that one client receives at the same time; the connection is closed. Time stays bounded by the request's deadline.

--- a/modules/net/include/HttpClient.h
+++ b/modules/net/include/HttpClient.h
@@ -19,7 +19,7 @@
   NotSent,
   /// Bytes of the request may have reached the server.
   MaybeSent,
-  /// The response was truncated, malformed or belongs to another request.
+  /// The response was truncated, malformed, too long or belongs to another request.
   BadResponse,
   /// No complete response arrived in time; bytes of the request may have reached the server.
   TimedOut,
@@ -41,7 +41,10 @@
   tcp::endpoint m_endpoint;
   std::int64_t m_connectTimeoutMs = 1000;
   std::size_t m_maxIdleConnections = 32;
-  std::uint64_t m_maxBodyBytes = 64U << 20;
+  /// Longest body of a response. It must fit into one frame between nodes.
+  std::uint64_t m_maxBodyBytes = 8U << 20;
+  /// Most bytes of bodies that are received at the same time, all responses together.
+  std::uint64_t m_maxReceivingBytes = 16U << 20;
   /// How long an idle connection may be reused if the server states no timeout in Keep-Alive.
   std::int64_t m_idleTimeoutMs = 20'000;
 };
--- a/modules/net/src/HttpClient.cpp
+++ b/modules/net/src/HttpClient.cpp
@@ -21,6 +21,9 @@
 // An idle connection is no longer reused this long before the server's stated idle timeout ends.
 constexpr Milliseconds kIdleMarginMs = 1000;
 constexpr std::int64_t kDeadPeerTimeoutMs = 3000;
+// Bounds what is not body: a header, the size of a chunk with its extensions, or trailers.
+constexpr std::size_t kMaxUnparsedBytes = 128U << 10;
+constexpr std::uint32_t kMaxInterimResponses = 8;
 
 // A connection and the bytes read past its last response.
 struct PooledConnection
@@ -33,7 +36,7 @@
 
   tcp::socket m_socket;
   asio::steady_timer m_timer;
-  beast::flat_buffer m_buffer;
+  beast::flat_buffer m_buffer{ kMaxUnparsedBytes };
   std::string m_requestBytes;
   bool m_writeIncomplete = false;
   bool m_timedOut = false;
@@ -55,6 +58,8 @@
   asio::io_context& m_context;
   HttpClientOptions m_options;
   std::vector<PooledPtr> m_idle;
+  /// Bytes of the bodies that are being received.
+  std::uint64_t m_receivingBytes = 0;
 };
 
 namespace {
@@ -154,6 +159,70 @@
          aResponse.result() != http::status::switching_protocols;
 }
 
+// Counts the body of one response in m_receivingBytes while it is received.
+class ReceivingBytes
+{
+public:
+  explicit ReceivingBytes(HttpClientState& aState)
+    : m_state(aState)
+  {
+  }
+  ~ReceivingBytes() { m_state.m_receivingBytes -= m_bytes; }
+  ReceivingBytes(const ReceivingBytes&) = delete;
+  ReceivingBytes& operator=(const ReceivingBytes&) = delete;
+
+  /// Sets the size of the body so far.
+  /// @return false if all bodies together are too large.
+  bool Set(std::uint64_t aBytes)
+  {
+    m_state.m_receivingBytes += aBytes - m_bytes;
+    m_bytes = aBytes;
+    return m_state.m_receivingBytes <= m_state.m_options.m_maxReceivingBytes;
+  }
+
+private:
+  HttpClientState& m_state;
+  std::uint64_t m_bytes = 0;
+};
+
+// Reads one whole response; bounded in memory, whatever the server sends.
+Awaitable<error_code>
+ReadResponse(HttpClientState& aState, PooledPtr aConnection, ResponseParser& aParser)
+{
+  ReceivingBytes receiving(aState);
+  while (!aParser.is_done()) {
+    const auto [error, size] = co_await http::async_read_some(
+      aConnection->m_socket, aConnection->m_buffer, aParser, kAsTuple);
+    if (error) {
+      co_return error;
+    }
+    if (!receiving.Set(aParser.get().body().size())) {
+      co_return http::error::body_limit;
+    }
+  }
+  co_return error_code();
+}
+
+// Reads the final response into aParser, past interim ones.
+Awaitable<error_code>
+ReadFinalResponse(HttpClientState& aState,
+                  PooledPtr aConnection,
+                  bool aHead,
+                  std::optional<ResponseParser>& aParser)
+{
+  for (std::uint32_t interim = 0; interim <= kMaxInterimResponses; ++interim) {
+    aParser.emplace();
+    aParser->body_limit(aState.m_options.m_maxBodyBytes);
+    aParser->skip(aHead);
+    aParser->eager(true); // Parses all that a read brought, however small its chunks are.
+    const error_code error = co_await ReadResponse(aState, aConnection, *aParser);
+    if (error || !IsInterim(aParser->get())) {
+      co_return error;
+    }
+  }
+  co_return http::error::bad_status;
+}
+
 HttpResult
 MakeFailure(HttpFailure aFailure, std::string aReason)
 {
@@ -269,15 +338,8 @@
     co_return MakeFailure(HttpFailure::MaybeSent, writeError.message());
   }
   std::optional<ResponseParser> parser;
-  error_code readError;
-  do {
-    parser.emplace();
-    parser->body_limit(state->m_options.m_maxBodyBytes);
-    parser->skip(aRequest.method() == http::verb::head);
-    const auto [error, size] =
-      co_await http::async_read(connection->m_socket, connection->m_buffer, *parser, kAsTuple);
-    readError = error;
-  } while (!readError && IsInterim(parser->get()));
+  const bool head = aRequest.method() == http::verb::head;
+  const error_code readError = co_await ReadFinalResponse(*state, connection, head, parser);
   HttpResult result;
   result.m_reused = reused;
   if (readError) {
--- a/modules/net/tests/HttpTest.cpp
+++ b/modules/net/tests/HttpTest.cpp
@@ -65,9 +65,9 @@
 // Runs ready handlers until aDone returns true; returns false after too many iterations.
 template<typename Done>
 bool
-RunUntil(asio::io_context& aContext, Done aDone)
+RunUntil(asio::io_context& aContext, Done aDone, int aMaxIterations = 20'000)
 {
-  for (int iteration = 0; iteration < 20'000; ++iteration) {
+  for (int iteration = 0; iteration < aMaxIterations; ++iteration) {
     if (aDone()) {
       return true;
     }
@@ -316,3 +316,114 @@
   CHECK_FALSE(results[0].m_response);
   CHECK(results[0].m_failure != HttpFailure::NotSent);
 }
+
+namespace {
+
+constexpr std::size_t kMegabyte = 1U << 20;
+// For some hundred megabytes in pieces of a kilobyte.
+constexpr int kFloodIterations = 400'000;
+
+// A server that sends a prefix and then the same bytes again and again, until the client closes.
+struct EndlessServer
+{
+  EndlessServer(asio::io_context& aContext, std::string aPrefix, const std::string& aRepeated)
+    : m_acceptor(aContext, { asio::ip::make_address("127.0.0.1"), 0 })
+    , m_prefix(std::move(aPrefix))
+  {
+    while (m_repeated.size() < kMegabyte / 16) {
+      m_repeated += aRepeated;
+    }
+    asio::co_spawn(aContext, Accept(aContext), asio::detached);
+  }
+
+  Awaitable<void> Accept(asio::io_context& aContext)
+  {
+    for (;;) {
+      auto [error, socket] = co_await m_acceptor.async_accept(kAsTuple);
+      if (error) {
+        co_return;
+      }
+      ++m_open;
+      asio::co_spawn(aContext, Flood(std::move(socket)), asio::detached);
+    }
+  }
+
+  Awaitable<void> Flood(tcp::socket aSocket)
+  {
+    std::string bytes = m_prefix;
+    for (;;) {
+      const auto [error, size] = co_await asio::async_write(aSocket, asio::buffer(bytes), kAsTuple);
+      m_sent += size;
+      if (error) {
+        --m_open;
+        co_return;
+      }
+      bytes = m_repeated;
+    }
+  }
+
+  tcp::acceptor m_acceptor;
+  std::string m_prefix;
+  std::string m_repeated;
+  std::size_t m_sent = 0;
+  int m_open = 0;
+};
+
+// Sends requests to a server that floods, all at once, and returns how many bytes it could send.
+std::size_t
+BytesTaken(const std::string& aPrefix, const std::string& aRepeated, int aRequests)
+{
+  CAPTURE(aPrefix);
+  asio::io_context context(1);
+  EndlessServer server(context, aPrefix, aRepeated);
+  HttpClient client(context, { .m_endpoint = server.m_acceptor.local_endpoint() });
+  int ended = 0;
+  for (int i = 0; i < aRequests; ++i) {
+    asio::co_spawn(
+      context,
+      [&]() -> Awaitable<void> {
+        HttpRequest request(http::verb::get, "/", 11);
+        request.set(http::field::host, "h");
+        const HttpResult result = co_await client.Send(std::move(request), 30'000);
+        CHECK_FALSE(result.m_response);
+        CHECK(result.m_failure == HttpFailure::BadResponse);
+        ++ended;
+      },
+      asio::detached);
+  }
+  CHECK(RunUntil(
+    context, [&] { return ended == aRequests && server.m_open == 0; }, kFloodIterations));
+  return server.m_sent;
+}
+
+} // namespace
+
+TEST_CASE("bytes of a server without end are cut off with bounded memory, wherever they come")
+{
+  const std::string ok = "HTTP/1.1 200 OK\r\n";
+  // What the kernel buffers between the two ends is not held by the process.
+  constexpr std::size_t kInKernel = 8 * kMegabyte;
+  constexpr std::size_t kSmall = kMegabyte + kInKernel;
+  CHECK(BytesTaken("", "x", 1) < kSmall);
+  CHECK(BytesTaken(ok, "x-more: yes\r\n", 1) < kSmall);
+  CHECK(BytesTaken(ok + "x-long: ", "x", 1) < kSmall);
+  CHECK(BytesTaken("", "HTTP/1.1 100 Continue\r\n\r\n", 1) < kSmall);
+  const std::string chunked = ok + "Transfer-Encoding: chunked\r\n\r\n";
+  CHECK(BytesTaken(chunked, "x", 1) < kSmall);
+  CHECK(BytesTaken(chunked + "5;name=", "x", 1) < kSmall);
+  CHECK(BytesTaken(chunked + "0\r\n", "x-more: yes\r\n", 1) < kSmall);
+  constexpr std::size_t kBody = 9 * kMegabyte + kInKernel;
+  CHECK(BytesTaken(chunked, "1000\r\n" + std::string(4096, 'x') + "\r\n", 1) < kBody);
+  // Half of these bytes is framing, which is not kept.
+  CHECK(BytesTaken(chunked, "5\r\nhello\r\n", 1) < 2 * kBody);
+  CHECK(BytesTaken(ok + "\r\n", "x", 1) < kBody);
+  CHECK(BytesTaken(ok + "Content-Length: 99999999999\r\n\r\n", "x", 1) < kSmall);
+}
+
+TEST_CASE("many endless bodies at once share one bound")
+{
+  constexpr int kRequests = 12;
+  constexpr std::size_t kInKernel = 8 * kMegabyte;
+  CHECK(BytesTaken("HTTP/1.1 200 OK\r\n\r\n", "x", kRequests) <
+        17 * kMegabyte + kRequests * kInKernel);
+}
