Say the limit's form in messages once, and shorten the test that plays loads

Found when the diff was read as a newcomer would: the negative number for no limit stood in membership and in node, and the load player of RateLimiterTest kept fields that it did not use.

--- a/modules/membership/src/Members.cpp
+++ b/modules/membership/src/Members.cpp
@@ -2,6 +2,7 @@
 
 #include "Hash.h"
 #include "NameTable.h"
+#include "RequestLimit.h"
 
 #include <algorithm>
 #include <tuple>
@@ -10,9 +11,6 @@
 
 namespace {
 
-// Limit of a target that named none, in a wire message.
-constexpr double kNoLimit = -1;
-
 constexpr std::array<NameRow<MemberState>, 5> kStateNames{ {
   { MemberState::Starting, "starting" },
   { MemberState::Up, "up" },
@@ -154,7 +152,7 @@
   entry.service = aMember.m_service;
   entry.slots = aMember.m_slots;
   entry.warm_up_ms = aMember.m_warmUpMs;
-  entry.per_second = aMember.m_perSecond.value_or(kNoLimit);
+  entry.per_second = wire::EncodeLimit(aMember.m_perSecond);
   return entry;
 }
 
@@ -171,7 +169,7 @@
            .m_service = aEntry.service,
            .m_slots = aEntry.slots,
            .m_warmUpMs = aEntry.warm_up_ms,
-           .m_perSecond = aEntry.per_second < 0 ? std::nullopt : std::optional(aEntry.per_second) };
+           .m_perSecond = wire::DecodeLimit(aEntry.per_second) };
 }
 
 } // namespace sequoiastep::membership
--- a/modules/node/src/NoticeWire.cpp
+++ b/modules/node/src/NoticeWire.cpp
@@ -1,13 +1,8 @@
 #include "NoticeWire.h"
 
-namespace sequoiastep::node {
-
-namespace {
+#include "RequestLimit.h"
 
-// Limit of a target that named none.
-constexpr double kNoLimit = -1;
-
-} // namespace
+namespace sequoiastep::node {
 
 std::unique_ptr<wire::TargetNoticeT>
 ToWire(const routing::StatedNotice& aStated)
@@ -15,7 +10,7 @@
   auto notice = std::make_unique<wire::TargetNoticeT>();
   notice->id = aStated.m_id;
   notice->born_ms = aStated.m_bornMs;
-  notice->per_second = aStated.m_notice.m_perSecond.value_or(kNoLimit);
+  notice->per_second = wire::EncodeLimit(aStated.m_notice.m_perSecond);
   notice->leaving = aStated.m_notice.m_leaving;
   return notice;
 }
@@ -23,12 +18,10 @@
 routing::StatedNotice
 FromWire(const wire::TargetNoticeT& aNotice)
 {
-  routing::StatedNotice stated{ .m_id = aNotice.id, .m_bornMs = aNotice.born_ms };
-  stated.m_notice.m_leaving = aNotice.leaving;
-  if (aNotice.per_second >= 0) {
-    stated.m_notice.m_perSecond = aNotice.per_second;
-  }
-  return stated;
+  return { .m_id = aNotice.id,
+           .m_bornMs = aNotice.born_ms,
+           .m_notice = { .m_perSecond = wire::DecodeLimit(aNotice.per_second),
+                         .m_leaving = aNotice.leaving } };
 }
 
 } // namespace sequoiastep::node
--- a/modules/routing/tests/RateLimiterTest.cpp
+++ b/modules/routing/tests/RateLimiterTest.cpp
@@ -4,6 +4,7 @@
 #include "TargetNotice.h"
 
 #include <algorithm>
+#include <deque>
 #include <doctest/doctest.h>
 #include <vector>
 
@@ -15,6 +16,8 @@
 constexpr Instant kNow{ 1'000'000 };
 constexpr Milliseconds kWindowMs = 4000;
 constexpr Milliseconds kServiceMs = 100;
+constexpr Milliseconds kMicrosecondsPerMs = 1000;
+constexpr double kMsPerSecond = 1000;
 
 // One and a half times the limit in 4 s, and 5 requests.
 double
@@ -37,22 +40,36 @@
   return most;
 }
 
-// The node beside a target, its queue, and what calling nodes remember of the target.
+// The node beside a target: its queue, the notice in force and when the requests at the target end.
 struct FarNode
 {
   AdmissionQueue m_queue{ .m_options = { .m_slots = 6, .m_queue = 64, .m_queueMs = 60'000 } };
   NoticeRecord m_notice;
-  std::vector<std::pair<Instant, std::uint64_t>> m_ends;
-
-  void Use() { SetRate(m_queue.m_rateLimiter, m_notice.m_stated.m_notice.m_perSecond, m_now); }
-  void Dispatch(std::vector<Instant>& aArrivals)
-  {
-    aArrivals.push_back(m_now);
-    m_ends.emplace_back(m_now + kServiceMs, 0);
-  }
-  Instant m_now;
+  std::deque<Instant> m_ends;
 };
 
+FarNode
+MakeFarNode()
+{
+  FarNode node;
+  SetIncarnation(node.m_notice, "a", 1);
+  return node;
+}
+
+void
+UseNotice(FarNode& aNode, Instant aNow)
+{
+  SetRate(aNode.m_queue.m_rateLimiter, aNode.m_notice.m_stated.m_notice.m_perSecond, aNow);
+}
+
+// Sends requests to the target.
+void
+Dispatch(FarNode& aNode, std::size_t aCount, Instant aNow, std::vector<Instant>& aArrivals)
+{
+  aArrivals.insert(aArrivals.end(), aCount, aNow);
+  aNode.m_ends.insert(aNode.m_ends.end(), aCount, aNow + kServiceMs);
+}
+
 struct Load
 {
   double m_perSecond = 100;
@@ -62,7 +79,8 @@
   std::vector<Milliseconds> m_restartsMs;
 };
 
-// Plays a load on one target whose limit is known to the calling nodes.
+// Plays a load on one target whose limit the calling nodes remember.
+// @return when the requests arrive at the target.
 std::vector<Instant>
 Play(const Load& aLoad)
 {
@@ -70,39 +88,30 @@
                                  .m_bornMs = 1,
                                  .m_notice = { .m_perSecond = aLoad.m_limit } };
   std::vector<Instant> arrivals;
-  FarNode node;
-  SetIncarnation(node.m_notice, "a", 1);
+  FarNode node = MakeFarNode();
   double due = 0;
   std::uint64_t id = 0;
   for (Milliseconds ms = 0; ms < aLoad.m_forMs; ++ms) {
     const Instant now = kNow + ms;
-    if (std::find(aLoad.m_restartsMs.begin(), aLoad.m_restartsMs.end(), ms) !=
-        aLoad.m_restartsMs.end()) {
-      node = FarNode();
-      SetIncarnation(node.m_notice, "a", 1);
+    const auto& restarts = aLoad.m_restartsMs;
+    if (std::find(restarts.begin(), restarts.end(), ms) != restarts.end()) {
+      node = MakeFarNode();
     }
-    node.m_now = now;
-    while (!node.m_ends.empty() && node.m_ends.front().first <= now) {
-      node.m_ends.erase(node.m_ends.begin());
+    while (!node.m_ends.empty() && node.m_ends.front() <= now) {
+      node.m_ends.pop_front();
       ApplyResponse(node.m_notice, remembered.m_notice);
-      node.Use();
-      for (const auto& run : Finish(node.m_queue, now, kServiceMs * 1000).m_run) {
-        static_cast<void>(run);
-        node.Dispatch(arrivals);
-      }
+      UseNotice(node, now);
+      const QueueDecision next = Finish(node.m_queue, now, kServiceMs * kMicrosecondsPerMs);
+      Dispatch(node, next.m_run.size(), now, arrivals);
     }
-    for (const auto& run : ProcessQueue(node.m_queue, now).m_run) {
-      static_cast<void>(run);
-      node.Dispatch(arrivals);
-    }
-    for (due += aLoad.m_perSecond / 1000; due >= 1; due -= 1) {
+    Dispatch(node, ProcessQueue(node.m_queue, now).m_run.size(), now, arrivals);
+    for (due += aLoad.m_perSecond / kMsPerSecond; due >= 1; due -= 1) {
       if (Recall(node.m_notice, remembered)) {
-        node.Use();
+        UseNotice(node, now);
       }
       const AdmissionRequest request{ .m_id = ++id, .m_deadline = now + 1000, .m_maxWaitMs = 40 };
-      if (Offer(node.m_queue, request, now).m_admission == Admission::Run) {
-        node.Dispatch(arrivals);
-      }
+      const bool runs = Offer(node.m_queue, request, now).m_admission == Admission::Run;
+      Dispatch(node, runs ? 1 : 0, now, arrivals);
     }
   }
   return arrivals;
--- /dev/null
+++ b/modules/wire/include/RequestLimit.h
@@ -0,0 +1,24 @@
+/// @file
+/// The limit on a target's requests in wire messages.
+#pragma once
+
+#include <optional>
+
+namespace sequoiastep::wire {
+
+/// @param aPerSecond requests per second; none if the target named no limit.
+/// @return the field per_second of a message; negative for none.
+inline double
+EncodeLimit(std::optional<double> aPerSecond)
+{
+  return aPerSecond.value_or(-1);
+}
+
+/// @return the limit in the field per_second of a message.
+inline std::optional<double>
+DecodeLimit(double aPerSecond)
+{
+  return aPerSecond < 0 ? std::nullopt : std::optional(aPerSecond);
+}
+
+} // namespace sequoiastep::wire
