--- a/modules/node/src/CallProxyRoute.cpp
+++ b/modules/node/src/CallProxyRoute.cpp
@@ -7,11 +7,11 @@
 #include "Log.h"
 #include "Names.h"
 #include "NoticeWire.h"
+#include "ParseNumber.h"
 #include "Problem.h"
 
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/beast/http/field.hpp>
-#include <charconv>
 #include <chrono>
 #include <fmt/core.h>
 
@@ -51,18 +51,6 @@
 // Base of the short wait; see ShortWaitLimit.
 constexpr Milliseconds kShortWaitMs = 40;
 
-std::optional<std::uint64_t>
-ParseNumberHeader(const HttpRequest& aRequest, std::string_view aName)
-{
-  const std::string_view text = aRequest[aName];
-  std::uint64_t number = 0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), number);
-  if (text.empty() || error != std::errc() || end != text.data() + text.size()) {
-    return std::nullopt;
-  }
-  return number;
-}
-
 config::RouteQuery
 RouteQueryOf(const HttpRequest& aRequest)
 {
@@ -79,7 +67,7 @@
   auto left = static_cast<Milliseconds>(aRoute.m_timeoutMs);
   for (const std::string_view name :
        { std::string_view("Sequoiastep-Timeout-Ms"), adapter::kDeadlineMs }) {
-    if (const auto timeout = ParseNumberHeader(aRequest, name)) {
+    if (const auto timeout = ParseNumber(aRequest[name])) {
       const auto timeoutMs = std::min<std::uint64_t>(*timeout, kMaxCallerTimeoutMs);
       left = std::min(left, routing::CallTimeout(static_cast<Milliseconds>(timeoutMs)));
     }
@@ -193,7 +181,7 @@
     response.set(http::field::retry_after, "0.3");
     co_return response;
   }
-  if (const auto wanted = ParseNumberHeader(aRequest, "Sequoiastep-Version")) {
+  if (const auto wanted = ParseNumber(aRequest["Sequoiastep-Version"])) {
     co_await HoldForVersion(*wanted);
     snapshot = m_shared.m_snapshot.load();
   }
--- a/modules/node/src/KeyedCalls.cpp
+++ b/modules/node/src/KeyedCalls.cpp
@@ -2,13 +2,13 @@
 
 #include "Hash.h"
 #include "HttpServer.h"
+#include "ParseNumber.h"
 #include "Problem.h"
 #include "Random.h"
 
 #include <boost/beast/http/field.hpp>
 #include <boost/beast/http/status.hpp>
 #include <boost/json.hpp>
-#include <charconv>
 #include <chrono>
 #include <fmt/core.h>
 #include <optional>
@@ -139,17 +139,14 @@
 HttpResponse
 KeyedCalls::Issue(const HttpRequest& aRequest)
 {
-  const std::string text = net::QueryValue(aRequest.target(), "count", "1");
-  std::size_t count = 0;
-  const auto [end, error] = std::from_chars(text.data(), text.data() + text.size(), count);
-  if (error != std::errc() || end != text.data() + text.size() || count < 1 ||
-      count > kMaxKeysPerRequest) {
+  const auto count = ParseNumber(net::QueryValue(aRequest.target(), "count", "1"));
+  if (!count || *count < 1 || *count > kMaxKeysPerRequest) {
     return MakeProblem(http::status::bad_request,
                        CallOutcome::NotRun,
                        fmt::format("count: a whole number from 1 to {}", kMaxKeysPerRequest));
   }
   boost::json::array keys;
-  for (const std::string& key : idempotency::IssueKeys(m_issuedTable, count)) {
+  for (const std::string& key : idempotency::IssueKeys(m_issuedTable, *count)) {
     keys.emplace_back(key);
   }
   return net::MakeResponse(http::status::ok,
