Take out copies of the second reading: the target's report, the backoff, the limit's text

The call proxy kept a copy of the report that the target runner has; each dispatch copied the whole report to know the incarnation later; the backoff after failures and that after refusals for a limit were the same formula twice, and so was the limit's text in two log lines. LearnStoreEra stood under the wrong file's heading. No change of behaviour; 137 unit tests pass.

--- a/modules/distribution/src/ControllerMembers.cpp
+++ b/modules/distribution/src/ControllerMembers.cpp
@@ -2,9 +2,9 @@
 // differences by exchanging digests.
 #include "ControllerPriv.h"
 #include "Log.h"
+#include "RequestLimit.h"
 
 #include <algorithm>
-#include <fmt/core.h>
 
 namespace sequoiastep::distribution {
 
@@ -74,8 +74,7 @@
     .Add("counter", aMember.m_counter)
     .Add("service", aMember.m_service)
     .Add("slots", aMember.m_slots)
-    .Add("limit_per_s",
-         aMember.m_perSecond ? fmt::format("{:.2f}", *aMember.m_perSecond) : std::string("none"))
+    .Add("limit_per_s", wire::LimitText(aMember.m_perSecond))
     .Add("from", aFrom);
 }
 
--- a/modules/distribution/src/ControllerPriv.h
+++ b/modules/distribution/src/ControllerPriv.h
@@ -112,11 +112,6 @@
 std::set<std::string, std::less<>>
 ForwardingPeers(const Controller& aController, std::string_view aFrom);
 
-/// Learns an era of the store. In a new one this node writes its directory entry again, since the
-/// copy that the store was restored from may lack it.
-void
-LearnStoreEra(StepContext& aContext, std::uint64_t aEra);
-
 // ControllerOperator.cpp
 void
 HandleStoreAnswered(StepContext& aContext, const StoreAnswered& aAnswer);
@@ -198,6 +193,10 @@
 HandleDirectoryRead(StepContext& aContext, const DirectoryRead& aRead);
 void
 HandleDirectoryWritten(StepContext& aContext, const DirectoryWritten& aWritten);
+/// Learns an era of the store. In a new one this node writes its directory entry again, since the
+/// copy that the store was restored from may lack it.
+void
+LearnStoreEra(StepContext& aContext, std::uint64_t aEra);
 
 // ControllerJoin.cpp
 void
--- a/modules/node/src/CallProxy.cpp
+++ b/modules/node/src/CallProxy.cpp
@@ -61,7 +61,6 @@
     } else {
       m_runner.RemoveTarget();
     }
-    m_announcedTarget = aTarget;
     AnnounceTarget();
   })
   , m_links(aContext, aIdentity, aShared)
@@ -126,10 +125,10 @@
 {
   m_announcedNotice = { .m_notice = m_runner.Notice(), .m_at = Clock::Now() };
   distribution::TargetChanged change;
-  if (m_announcedTarget) {
-    change = { .m_service = m_announcedTarget->m_service,
-               .m_slots = m_announcedTarget->m_slots,
-               .m_warmUpMs = m_announcedTarget->m_warmUpMs,
+  if (const routing::TargetReport* target = m_runner.Target()) {
+    change = { .m_service = target->m_service,
+               .m_slots = target->m_slots,
+               .m_warmUpMs = target->m_warmUpMs,
                .m_draining = m_runner.IsLeaving(),
                .m_perSecond = m_runner.Notice().m_perSecond };
   }
--- a/modules/node/src/CallProxy.h
+++ b/modules/node/src/CallProxy.h
@@ -147,8 +147,6 @@
   routing::PickState m_pickState;
   routing::NoticeMemory m_noticeMemory;
   routing::AnnouncedNotice m_announcedNotice;
-  /// Report of the target that other nodes were told; none if they were told of no target.
-  std::optional<routing::TargetReport> m_announcedTarget;
   std::map<std::string, routing::RetryBudget, std::less<>> m_budgets;
   routing::RouteRoundRobins m_weightTurns;
   /// Average run time of a route's requests over all targets, in microseconds.
--- a/modules/node/src/TargetRunner.cpp
+++ b/modules/node/src/TargetRunner.cpp
@@ -6,6 +6,7 @@
 #include "Names.h"
 #include "NoticeWire.h"
 #include "Problem.h"
+#include "RequestLimit.h"
 #include "TargetAnswer.h"
 #include "Trace.h"
 
@@ -106,7 +107,7 @@
   const routing::TargetNotice& notice = aStated.m_notice;
   LogLine(LogLevel::Info, "target_notice", aSource)
     .Add("target", aStated.m_id)
-    .Add("limit_per_s", notice.m_perSecond ? fmt::format("{:.2f}", *notice.m_perSecond) : "none")
+    .Add("limit_per_s", wire::LimitText(notice.m_perSecond))
     .Add("leaving", notice.m_leaving ? "yes" : "no")
     .Add("source", aSource);
 }
@@ -221,17 +222,26 @@
   return m_admissionQueue.m_running + static_cast<std::uint32_t>(m_admissionQueue.m_waiting.size());
 }
 
+const routing::TargetReport*
+TargetRunner::Target() const
+{
+  return m_targetPresent ? &m_target : nullptr;
+}
+
 const routing::TargetNotice&
 TargetRunner::Notice() const
 {
   return m_notice.m_stated.m_notice;
 }
 
-// Applies what a response of aTarget says about the target, unless another one took its place.
+// Applies what a response of the given incarnation says about the target, unless another one took
+// its place.
 void
-TargetRunner::RecordNotice(const routing::TargetReport& aTarget, const net::HttpResponse& aResponse)
+TargetRunner::RecordNotice(const std::string& aId,
+                           std::int64_t aBornMs,
+                           const net::HttpResponse& aResponse)
 {
-  if (aTarget.m_id != m_target.m_id || aTarget.m_bornMs != m_target.m_bornMs) {
+  if (aId != m_target.m_id || aBornMs != m_target.m_bornMs) {
     return;
   }
   if (routing::ApplyResponse(m_notice, adapter::DecodeNotice(aResponse))) {
@@ -368,15 +378,16 @@
   aRun->m_dispatched = true;
   m_shared.m_calls.m_dispatched.fetch_add(1, std::memory_order_relaxed);
   const std::shared_ptr<net::HttpClient> client = m_client;
-  const routing::TargetReport target = m_target;
+  const std::string targetId = m_target.m_id;
+  const std::int64_t bornMs = m_target.m_bornMs;
   const std::string id = aCall.request_id;
-  HttpRequest request = MakeTargetRequest(aCall, target, left);
+  HttpRequest request = MakeTargetRequest(aCall, m_target, left);
   net::HttpClient::ResponseMatcher belongs = [&id](const net::HttpResponse& aResponse) {
     return id.empty() || aResponse[adapter::kRequestId] == id;
   };
   HttpResult result = co_await client->Send(std::move(request), left, std::move(belongs));
   if (result.m_response) {
-    RecordNotice(target, *result.m_response);
+    RecordNotice(targetId, bornMs, *result.m_response);
   } else if (result.m_failure == net::HttpFailure::NotSent) {
     m_unreachableUntil = Clock::Now() + kUnreachableBackoffMs;
   }
--- a/modules/node/src/TargetRunner.h
+++ b/modules/node/src/TargetRunner.h
@@ -65,6 +65,8 @@
                                     std::shared_ptr<TargetRun> aRun);
   /// @return the number of running and queued requests.
   std::uint32_t Outstanding() const;
+  /// @return the target's latest report; null if it has none.
+  const routing::TargetReport* Target() const;
   /// @return the notice of the target that is in force.
   const routing::TargetNotice& Notice() const;
   /// @return true if the target reported that it leaves or says so in its responses.
@@ -97,7 +99,9 @@
                          std::int64_t aWaitedUs) const;
   void ApplyDecision(const routing::QueueDecision& aDecision);
   void UseNotice(std::string_view aSource);
-  void RecordNotice(const routing::TargetReport& aTarget, const net::HttpResponse& aResponse);
+  void RecordNotice(const std::string& aId,
+                    std::int64_t aBornMs,
+                    const net::HttpResponse& aResponse);
   void ApplyServiceLimits(const std::string& aService);
   wire::AnswerT MakeRefusal(std::string_view aReason, bool aOverloaded) const;
 
--- a/modules/routing/src/Picker.cpp
+++ b/modules/routing/src/Picker.cpp
@@ -228,12 +228,13 @@
   aStats.m_rateLimitedUntil = aNow + aReport.m_rateWaitMs;
 }
 
-// Between half of aDurationMs and all of it.
+// aBaseMs doubled for each of aRepeats up to aMaxMs, of which at least half is kept.
 Milliseconds
-WithJitter(Milliseconds aDurationMs, Random& aRandom)
+BackoffMs(Milliseconds aBaseMs, std::uint32_t aRepeats, Milliseconds aMaxMs, Random& aRandom)
 {
-  const auto rangeMs = static_cast<std::uint64_t>(aDurationMs / 2 + 1);
-  return aDurationMs / 2 + static_cast<Milliseconds>(aRandom.Below(rangeMs));
+  const Milliseconds backoffMs = std::min(aMaxMs, aBaseMs << std::min(aRepeats, kMaxDoublings));
+  const auto jitterRangeMs = static_cast<std::uint64_t>(backoffMs / 2 + 1);
+  return backoffMs / 2 + static_cast<Milliseconds>(aRandom.Below(jitterRangeMs));
 }
 
 void
@@ -350,9 +351,7 @@
 {
   RecordAbandoned(aState, aNode);
   TargetStats& stats = aState.m_targets[std::string(aNode)];
-  const Milliseconds backoffMs =
-    std::min(kAvoidMaxMs, kAvoidMinMs << std::min(stats.m_failures, kMaxDoublings));
-  stats.m_avoidUntil = aNow + WithJitter(backoffMs, aRandom);
+  stats.m_avoidUntil = aNow + BackoffMs(kAvoidMinMs, stats.m_failures, kAvoidMaxMs, aRandom);
   stats.m_avoidedAt = aNow;
   ++stats.m_failures;
 }
@@ -368,9 +367,8 @@
   TargetStats& stats = aState.m_targets[std::string(aNode)];
   ApplyReport(stats, aReport, aNow);
   if (aReport.m_rateWaitMs > 0) {
-    const Milliseconds waitMs = std::min(
-      kRateWaitMaxMs, aReport.m_rateWaitMs << std::min(stats.m_rateRefusals, kMaxDoublings));
-    stats.m_rateLimitedUntil = aNow + WithJitter(waitMs, aRandom);
+    stats.m_rateLimitedUntil =
+      aNow + BackoffMs(aReport.m_rateWaitMs, stats.m_rateRefusals, kRateWaitMaxMs, aRandom);
     ++stats.m_rateRefusals;
   }
 }
--- a/modules/wire/include/RequestLimit.h
+++ b/modules/wire/include/RequestLimit.h
@@ -1,8 +1,10 @@
 /// @file
-/// The limit on a target's requests in wire messages.
+/// The limit on a target's requests in wire messages and log lines.
 #pragma once
 
+#include <fmt/core.h>
 #include <optional>
+#include <string>
 
 namespace sequoiastep::wire {
 
@@ -21,4 +23,11 @@
   return aPerSecond < 0 ? std::nullopt : std::optional(aPerSecond);
 }
 
+/// @return the limit in log lines.
+inline std::string
+LimitText(std::optional<double> aPerSecond)
+{
+  return aPerSecond ? fmt::format("{:.2f}", *aPerSecond) : "none";
+}
+
 } // namespace sequoiastep::wire
