--- a/tests/whole/config-faults.sh
+++ b/tests/whole/config-faults.sh
@@ -66,7 +66,6 @@
 
 # During an outage of the log, nodes keep their version, a restarted node gets it from its peers, and the
 # outcome of a publication is not known yet.
-set_log_faults() { curl -s -d "$1" "http://$LOG_ADDRESS/admin/v1/faults" >/dev/null; }
 sed -i 's/"peer":{\([^}]*\)}/"peer":{\1,"hints":["'"$(peer_of 5)"'"]}/' "$MESH_DIR/n4.json"
 set_log_faults '{"outage":true}'
 kill -KILL "${NODE_PID[4]}"
--- a/tests/whole/keys.sh
+++ b/tests/whole/keys.sh
@@ -69,7 +69,6 @@
 expect "a version 7 UUID that is too old" "504 unknown " "$(post 1 017f22e2-79b0-7cc3-98c4-dc0c0c07398f old)"
 expect "runs of the old key" 0 "$(runs_of old)"
 
-set_log_faults() { curl -s -d "$1" "http://$LOG_ADDRESS/admin/v1/faults" >/dev/null; }
 set_log_faults '{"outage":true}'
 expect "own key with the log down" "503 not_run " "$(post 1 order-19 down)"
 expect "runs with the log down" 0 "$(runs_of down)"
--- a/tests/whole/outcomes.sh
+++ b/tests/whole/outcomes.sh
@@ -25,7 +25,7 @@
   wait_for 10 one_target_up || fail "target $drain_target did not drain"
 }
 # cancelled_count N: how many requests were cancelled while they ran at target N.
-cancelled_count() { curl -sf "http://$(target_of "$1")/standin/runs" | grep -oE '"cancelled":[0-9]+' | cut -d: -f2; }
+cancelled_count() { report_of "$1" cancelled; }
 
 expect "plain" "200 " "$(send plain)"
 expect "runs of plain" 1 "$(runs_of plain)"
@@ -68,7 +68,7 @@
   esac
 done
 [ "$shed" -ge 20 ] || fail "only $shed of 40 were shed by 6 slots and a queue of 8"
-max_running=$(curl -sf "http://$(target_of 3)/standin/runs" | grep -oE '"most_running":[0-9]+' | cut -d: -f2)
+max_running=$(report_of 3 most_running)
 [ "$max_running" -le 6 ] || fail "the target ran $max_running requests at once in 6 slots"
 
 # The target is killed while it runs the request.
@@ -112,7 +112,7 @@
 runs_at_both() {
   local total=0 n runs
   for n in 12 3; do
-    runs=$(curl -sf "http://$(target_of $n)/standin/runs" | grep -oE "\"$1\":[0-9]+" | cut -d: -f2)
+    runs=$(report_of $n "$1")
     total=$((total + ${runs:-0}))
   done
   echo $total
--- a/tests/whole/small-mesh.sh
+++ b/tests/whole/small-mesh.sh
@@ -36,7 +36,7 @@
 runs_of() {
   local n total=0 runs
   for n in 2 3; do
-    runs=$(curl -sf "http://$(target_of $n)/standin/runs" | grep -oE "\"$1\":[0-9]+" | cut -d: -f2)
+    runs=$(report_of $n "$1")
     total=$((total + ${runs:-0}))
   done
   echo "$total"
--- a/tests/whole/store-restored.sh
+++ b/tests/whole/store-restored.sh
@@ -10,7 +10,7 @@
 . tests/whole/small-mesh.sh
 trap stop_mesh EXIT
 
-store_faults() { curl -sf -d "$1" "http://$LOG_ADDRESS/admin/v1/faults" >/dev/null || fail "the store took no $1"; }
+store_faults() { set_log_faults "$1" || fail "the store took no $1"; }
 # write_config N: the operator writes version N, also while the store rejects the nodes.
 write_config() {
   local value size
--- a/tests/whole/target-limit.sh
+++ b/tests/whole/target-limit.sh
@@ -14,7 +14,6 @@
 # One and a half times the limit in 4 s, and 5 requests.
 ALLOWED=$((LIMIT * 4 * 3 / 2 + 5))
 set_limit() { curl -sf -d "$2" "http://$(target_of "$1")/standin/limit" >/dev/null || fail "set the limit of target $1"; }
-report_of() { curl -sf "http://$(target_of "$1")/standin/runs" | grep -oE "\"$2\":[0-9]+" | cut -d: -f2; }
 ALL_NODES="$(caller_of 1),$(caller_of 2),$(caller_of 3)"
 # send_load NAME SECONDS NODES: 60 requests a second through the nodes; the result is in $MESH_DIR/NAME.txt.
 send_load() {
--- a/tools/StandInTarget.cpp
+++ b/tools/StandInTarget.cpp
@@ -1,8 +1,8 @@
 // A test stand-in for a target: a limited number of slots, slow start, draining, load shedding,
 // cancellation when the connection closes (as at a deadline), and health and load endpoints, of
 // which the load endpoint can report stale or false values. It names a limit or that it leaves on
-// demand. Counts the runs of each X-Request-Id,
-// so that tests can compare them with what callers were told.
+// demand. Counts the runs of each X-Request-Id, so that tests can compare them with what callers
+// were told.
 #include "Address.h"
 #include "Clock.h"
 #include "HttpClient.h"
--- a/tools/mesh.sh
+++ b/tools/mesh.sh
@@ -31,6 +31,12 @@
   wait_for 5 curl -sf "http://$LOG_ADDRESS/-/log-newest?topic=keyed.none"
 }
 
+# set_log_faults JSON: injects faults into the log.
+set_log_faults() { curl -sf -d "$1" "http://$LOG_ADDRESS/admin/v1/faults" >/dev/null; }
+
+# report_of N FIELD: a number that target N reports: a count of its own, or how often it ran a request.
+report_of() { curl -sf "http://$(target_of "$1")/standin/runs" | grep -oE "\"$2\":[0-9]+" | cut -d: -f2; }
+
 # Addresses of node N: its listeners for callers, targets, admin and peers, and that of its target.
 port() { echo $((PORT_BASE + 10 * $1 + $2)); }
 caller_of() { echo "127.0.0.1:$(port "$1" 0)"; }
