Don't take a connect whose caller left for a target that refuses connections

Cause: a cancelled connect ended as NotSent like a refused one, and TargetRunner then refused all calls for 500 ms. The client now tells the two apart. The new unit test failed before (NotSent in place of Cancelled) and passes.

--- a/modules/net/include/HttpClient.h
+++ b/modules/net/include/HttpClient.h
@@ -17,6 +17,8 @@
 {
   /// No connection could be established: nothing of the request was sent.
   NotSent,
+  /// The sender cancelled the request while it was connecting: nothing of it was sent.
+  Cancelled,
   /// Bytes of the request may have reached the server.
   MaybeSent,
   /// The response was truncated, malformed, too long or belongs to another request.
--- a/modules/net/src/HttpClient.cpp
+++ b/modules/net/src/HttpClient.cpp
@@ -329,7 +329,10 @@
   if (!reused) {
     const error_code error = co_await Connect(*state, connection, aTimeoutMs);
     if (error) {
-      co_return MakeFailure(HttpFailure::NotSent, error.message());
+      const auto cancellation = co_await asio::this_coro::cancellation_state;
+      const bool cancelled = cancellation.cancelled() != asio::cancellation_type::none;
+      co_return MakeFailure(cancelled ? HttpFailure::Cancelled : HttpFailure::NotSent,
+                            error.message());
     }
   }
   CloseAfter(connection, std::max<Milliseconds>(1, deadline - Clock::Now()));
--- a/modules/net/tests/HttpTest.cpp
+++ b/modules/net/tests/HttpTest.cpp
@@ -2,6 +2,8 @@
 #include "HttpClient.h"
 #include "HttpServer.h"
 
+#include <boost/asio/bind_cancellation_slot.hpp>
+#include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
@@ -427,3 +429,33 @@
   CHECK(BytesTaken("HTTP/1.1 200 OK\r\n\r\n", "x", kRequests) <
         17 * kMegabyte + kRequests * kInKernel);
 }
+
+TEST_CASE("a connect that the sender cancels is not taken for a server that refuses connections")
+{
+  asio::io_context context;
+  // A server that accepts nothing: once its queue is full, further connects get no answer.
+  tcp::acceptor acceptor(context);
+  acceptor.open(tcp::v4());
+  acceptor.bind({ asio::ip::make_address("127.0.0.1"), 0 });
+  acceptor.listen(0);
+  std::vector<tcp::socket> queued;
+  for (int i = 0; i < 4; ++i) {
+    queued.emplace_back(context).async_connect(acceptor.local_endpoint(), [](error_code) {});
+  }
+  RunUntil(context, [] { return false; }, 50);
+  HttpClient client(context, { .m_endpoint = acceptor.local_endpoint() });
+  asio::cancellation_signal cancel;
+  std::optional<HttpResult> result;
+  asio::co_spawn(context,
+                 client.Send(HttpRequest(http::verb::get, "/", 11), 5000),
+                 asio::bind_cancellation_slot(
+                   cancel.slot(), [&](const std::exception_ptr& aFailure, HttpResult aResult) {
+                     CHECK_FALSE(aFailure);
+                     result = std::move(aResult);
+                   }));
+  RunUntil(context, [&] { return result.has_value(); }, 50);
+  REQUIRE_FALSE(result);
+  cancel.emit(asio::cancellation_type::terminal);
+  REQUIRE(RunUntil(context, [&] { return result.has_value(); }));
+  CHECK(result->m_failure == HttpFailure::Cancelled);
+}
--- a/modules/node/src/TargetRunner.cpp
+++ b/modules/node/src/TargetRunner.cpp
@@ -79,7 +79,8 @@
   AnswerT answer;
   answer.arrived = true;
   if (!aResult.m_response) {
-    answer.arrived = aResult.m_failure != net::HttpFailure::NotSent;
+    answer.arrived = aResult.m_failure != net::HttpFailure::NotSent &&
+                     aResult.m_failure != net::HttpFailure::Cancelled;
     answer.outcome = answer.arrived ? CallOutcome::Unknown : CallOutcome::NotRun;
     answer.timed_out = aResult.m_failure == net::HttpFailure::TimedOut;
     answer.reason = fmt::format("the target's connection failed ({}{})",
