--- a/modules/config/include/ObjectReader.h
+++ b/modules/config/include/ObjectReader.h
@@ -22,6 +22,14 @@
   std::uint64_t m_max = 0;
 };
 
+/// The inclusive range of a real number and its default when absent.
+struct RealRule
+{
+  double m_default = 0;
+  double m_min = 0;
+  double m_max = 0;
+};
+
 /// Reads the fields of one object. Errors name the path of the field.
 class ObjectReader
 {
@@ -33,6 +41,8 @@
 
   /// @return the whole number, or aRule's default if the key is absent.
   Result<std::uint64_t> Number(std::string_view aKey, const NumberRule& aRule);
+  /// @return the real number, or aRule's default if the key is absent.
+  Result<double> Real(std::string_view aKey, const RealRule& aRule);
   /// @return the fraction in [0, 1], or aDefault if the key is absent.
   Result<double> Fraction(std::string_view aKey, double aDefault);
   /// @return the text; an error if it is absent or empty.
--- a/modules/config/src/ObjectReader.cpp
+++ b/modules/config/src/ObjectReader.cpp
@@ -2,6 +2,7 @@
 
 #include <boost/json.hpp>
 #include <fmt/core.h>
+#include <limits>
 
 namespace sequoiastep::config {
 
@@ -44,19 +45,26 @@
 }
 
 Result<double>
-ObjectReader::Fraction(std::string_view aKey, double aDefault)
+ObjectReader::Real(std::string_view aKey, const RealRule& aRule)
 {
   const json::value* value = Find(aKey);
   if (value == nullptr) {
-    return aDefault;
+    return aRule.m_default;
   }
-  const double number = value->is_number() ? value->to_number<double>() : -1;
-  if (!(number >= 0 && number <= 1)) {
-    return InvalidValue(aKey, "a number from 0 to 1");
+  const double number =
+    value->is_number() ? value->to_number<double>() : std::numeric_limits<double>::quiet_NaN();
+  if (!(number >= aRule.m_min && number <= aRule.m_max)) {
+    return InvalidValue(aKey, fmt::format("a number from {} to {}", aRule.m_min, aRule.m_max));
   }
   return number;
 }
 
+Result<double>
+ObjectReader::Fraction(std::string_view aKey, double aDefault)
+{
+  return Real(aKey, { .m_default = aDefault, .m_min = 0, .m_max = 1 });
+}
+
 Result<std::string>
 ObjectReader::Text(std::string_view aKey)
 {
--- a/modules/node/include/Settings.h
+++ b/modules/node/include/Settings.h
@@ -100,6 +100,8 @@
   std::string m_metricsListen;
   std::string m_peerListen;
   std::vector<std::string> m_peerHints;
+  /// Bandwidth of the host's link, in Mbit/s.
+  double m_linkMbps = 1000;
   std::string m_platformLog;
   /// Take the configuration from the operator's record in the platform's store instead of from
   /// publications.
--- a/modules/node/src/CallLinks.cpp
+++ b/modules/node/src/CallLinks.cpp
@@ -20,6 +20,8 @@
 // node.
 constexpr Milliseconds kMaxConnectWaitMs = 500;
 constexpr Milliseconds kReviewIntervalMs = 50;
+// Other frames of the link are sent between two chunks.
+constexpr std::size_t kBodyChunkBytes = 16U << 10;
 
 } // namespace
 
@@ -32,8 +34,14 @@
   {
   }
 
+  /// Returns true if the peer may have the whole request. It runs nothing before.
+  bool MayRun() const { return m_bodySent == m_body.size(); }
+
   asio::steady_timer m_timer;
   bool m_repeatable;
+  /// Body that is sent in chunks; empty if the call itself carries it.
+  std::vector<std::uint8_t> m_body;
+  std::size_t m_bodySent = 0;
   CallReply m_reply{ .m_kind = CallReply::Kind::TimedOut, .m_answer = {} };
 };
 
@@ -193,6 +201,11 @@
   aCall.sent_ms = Clock::Now().m_ms;
   const std::uint64_t id = aCall.id;
   PendingCall pending(m_context, aTimeoutMs, aCall.repeatable);
+  if (aCall.body.size() > kMaxInlineBodyBytes) {
+    pending.m_body = std::move(aCall.body);
+    aCall.body.clear();
+    aCall.body_size = static_cast<std::uint32_t>(pending.m_body.size());
+  }
   link->m_pending.emplace(id, &pending);
   // Runs however this coroutine ends, also if a cancellation destroys it.
   struct CancelUnanswered
@@ -211,14 +224,42 @@
   const CancelUnanswered cancelUnanswered{ .m_link = link, .m_id = id };
   link->m_connection->Send(wire::EncodeFrame(wire::MakeEnvelope(std::move(aCall))));
   co_await pending.m_timer.async_wait(kAsTuple);
+  if (pending.m_reply.m_kind == CallReply::Kind::TimedOut && !pending.MayRun()) {
+    pending.m_reply.m_kind = CallReply::Kind::BodyNotTaken;
+  }
   co_return std::move(pending.m_reply);
 }
 
+// Sends the bytes of a call's body that the peer granted.
+void
+CallLinks::SendBody(Link& aLink, const wire::BodyGrantT& aGrant)
+{
+  const auto found = aLink.m_pending.find(aGrant.id);
+  if (found == aLink.m_pending.end()) {
+    return; // The call has ended meanwhile.
+  }
+  PendingCall& call = *found->second;
+  const std::size_t upTo = std::min<std::size_t>(aGrant.up_to, call.m_body.size());
+  while (call.m_bodySent < upTo) {
+    const std::size_t size = std::min(kBodyChunkBytes, upTo - call.m_bodySent);
+    const auto start = call.m_body.begin() + static_cast<std::ptrdiff_t>(call.m_bodySent);
+    wire::BodyChunkT chunk;
+    chunk.id = aGrant.id;
+    chunk.bytes.assign(start, start + static_cast<std::ptrdiff_t>(size));
+    call.m_bodySent += size;
+    aLink.m_connection->Send(wire::EncodeFrame(wire::MakeEnvelope(std::move(chunk))));
+  }
+}
+
 void
 CallLinks::Receive(const LinkPtr& aLink, wire::EnvelopeT aMessage)
 {
   routing::RecordReceived(aLink->m_liveness, Clock::Now());
   WakeWaiters(*aLink);
+  if (aMessage.body.type == wire::Body::BodyGrant) {
+    SendBody(*aLink, *aMessage.body.AsBodyGrant());
+    return;
+  }
   if (aMessage.body.type != wire::Body::Answer) {
     return;
   }
@@ -252,13 +293,13 @@
 void
 CallLinks::FailCall(PendingCall& aCall)
 {
-  aCall.m_reply.m_kind = CallReply::Kind::LinkBroken;
+  aCall.m_reply.m_kind = aCall.MayRun() ? CallReply::Kind::LinkBroken : CallReply::Kind::NotSent;
   aCall.m_timer.cancel();
 }
 
 // The peer froze, was partitioned from this node, or only the connection is dead. The next call
-// opens a new connection. Calls that may run only once keep waiting on the old one, since their
-// answer may still arrive.
+// opens a new connection. Calls that may run only once and may be running keep waiting on the old
+// one, since their answer may still arrive.
 void
 CallLinks::DropSilent(const std::string& aNode, const LinkPtr& aLink)
 {
@@ -268,7 +309,7 @@
     .Add("waiting_calls", aLink->m_pending.size());
   m_links.erase(aNode);
   for (const auto& [id, call] : aLink->m_pending) {
-    if (call->m_repeatable) {
+    if (call->m_repeatable || !call->MayRun()) {
       FailCall(*call);
     }
   }
--- a/modules/node/src/CallLinks.h
+++ b/modules/node/src/CallLinks.h
@@ -16,6 +16,10 @@
 
 namespace sequoiastep::node {
 
+/// Largest body that a call itself carries. A larger one is sent after it, in chunks, as the peer
+/// grants it.
+constexpr std::size_t kMaxInlineBodyBytes = 16U << 10;
+
 /// Result of a call to another node.
 struct CallReply
 {
@@ -29,6 +33,8 @@
     LinkBroken,
     /// No answer came in time.
     TimedOut,
+    /// The node did not take the whole body in time, so that the request can't run there.
+    BodyNotTaken,
   };
 
   Kind m_kind = Kind::NotSent;
@@ -72,6 +78,7 @@
   static void RecordReceivedBytes(Link& aLink, Instant aNow);
   static void SendProbe(Link& aLink);
   net::Awaitable<bool> ConfirmAlive(LinkPtr aLink);
+  static void SendBody(Link& aLink, const wire::BodyGrantT& aGrant);
   static void FailCall(PendingCall& aCall);
   static bool NeedsLivenessCheck(const Link& aLink);
   void DropSilent(const std::string& aNode, const LinkPtr& aLink);
--- a/modules/node/src/CallProxy.cpp
+++ b/modules/node/src/CallProxy.cpp
@@ -38,6 +38,7 @@
 constexpr Milliseconds kControlStaleMs = 1500;
 constexpr Milliseconds kMaxStaleHoldMs = 3000;
 constexpr Milliseconds kCloseIdleIntervalMs = 10'000;
+constexpr double kBytesPerMsPerMbps = 125;
 constexpr std::string_view kReservedPrefix = "/.sequoiastep/";
 constexpr std::string_view kKeysPath = "/.sequoiastep/v1/keys";
 
@@ -55,6 +56,7 @@
   , m_notifyControl(std::move(aNotifyControl))
   , m_random{ EntropySeed() }
   , m_runner(aContext, aShared, m_metrics)
+  , m_bodies(aContext, { .m_bytesPerMs = aSettings.m_linkMbps * kBytesPerMsPerMbps })
   , m_targetApi([this](const std::optional<routing::TargetReport>& aTarget) {
     if (aTarget) {
       m_runner.SetTarget(*aTarget);
@@ -145,6 +147,7 @@
     asio::steady_timer timer(m_context, std::chrono::milliseconds(pause));
     co_await timer.async_wait(kAsTuple);
     m_runner.ShedExpired();
+    m_bodies.SendGrants();
     m_targetApi.ExpireReport(Clock::Now());
     ApplyCallerLimits();
     if (routing::NeedsAnnouncement(m_announcedNotice, m_runner.Notice(), Clock::Now())) {
--- a/modules/node/src/CallProxy.h
+++ b/modules/node/src/CallProxy.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "AsioTypes.h"
+#include "BodyReceiver.h"
 #include "CallLinks.h"
 #include "CallMetrics.h"
 #include "CallerKeys.h"
@@ -114,6 +115,8 @@
   net::Awaitable<void> ServeCall(InboundLinkPtr aLink,
                                  wire::CallT aCall,
                                  std::shared_ptr<TargetRun> aRun);
+  net::Awaitable<std::optional<wire::AnswerT>> ReceiveBody(InboundLinkPtr aLink,
+                                                           wire::CallT& aCall);
   void Receive(const InboundLinkPtr& aLink, wire::EnvelopeT aMessage);
   routing::AttemptOutcome RecordOutcome(const CallJob& aJob,
                                         const wire::AnswerT& aAnswer,
@@ -138,6 +141,7 @@
   Random m_random;
   CallMetrics m_metrics;
   TargetRunner m_runner;
+  BodyReceiver m_bodies;
   TargetApi m_targetApi;
   CallLinks m_links;
   KeyedCalls m_keyedCalls;
@@ -156,6 +160,7 @@
   /// Configuration version whose limits for callers are applied; 0 if none is.
   std::uint64_t m_callerLimitsVersion = 0;
   std::set<InboundLinkPtr> m_inboundLinks;
+  std::uint64_t m_nextInboundLink = 1;
   /// Requests of callers in progress.
   std::uint32_t m_callerRequests = 0;
   /// Calls of other nodes in progress.
--- a/modules/node/src/CallProxyRoute.cpp
+++ b/modules/node/src/CallProxyRoute.cpp
@@ -47,7 +47,6 @@
 constexpr double kLargeAnswerKilobytes = 64;
 // Targets that are tried with a short wait for a slot before a wait up to the deadline is accepted.
 constexpr std::uint32_t kMaxShortWaitAttempts = 3;
-constexpr std::uint32_t kUnlimitedWait = 0xffffffffU;
 // Base of the short wait; see ShortWaitLimit.
 constexpr Milliseconds kShortWaitMs = 40;
 
@@ -80,7 +79,8 @@
 {
   return { .m_load = aAnswer.outstanding,
            .m_serviceUs = aAnswer.service_us,
-           .m_rateWaitMs = static_cast<Milliseconds>(aAnswer.rate_wait_ms) };
+           .m_rateWaitMs = static_cast<Milliseconds>(aAnswer.rate_wait_ms),
+           .m_bodyWaitMs = static_cast<Milliseconds>(aAnswer.body_wait_ms) };
 }
 
 AttemptOutcome
@@ -296,6 +296,11 @@
       answer.timed_out = true;
       answer.reason = "no answer came within the deadline";
       break;
+    case CallReply::Kind::BodyNotTaken:
+      answer.outcome = CallOutcome::NotRun;
+      answer.overloaded = true;
+      answer.reason = "the node beside the target did not take the body in time";
+      break;
   }
   co_return answer;
 }
@@ -384,6 +389,7 @@
                     .m_crossRegion = aJob.m_crossRegion,
                     .m_tried = &aExcludedNodes,
                     .m_kilobytes = aJob.m_estimatedKilobytes,
+                    .m_largeBody = aJob.m_call.body.size() > kMaxInlineBodyBytes,
                     .m_routeAverageUs = routing::AverageOf(m_runUs, aJob.m_call.route).value_or(0),
                     .m_objectiveMs = aJob.m_objective - Clock::Now() },
                   Clock::Now(),
--- a/modules/node/src/CallProxyServe.cpp
+++ b/modules/node/src/CallProxyServe.cpp
@@ -13,12 +13,15 @@
 namespace asio = net::asio;
 using net::Awaitable;
 using wire::AnswerT;
+using wire::CallOutcome;
 using wire::CallT;
 
 // A connection on which another node sends calls to this one.
 struct CallProxy::InboundLink
 {
   std::string m_node;
+  /// Number of the link, unique in this process.
+  std::uint64_t m_number = 0;
   bool m_crossRegion = false;
   std::unique_ptr<net::FrameConnection> m_connection;
   /// Measures how long calls were in transit.
@@ -38,6 +41,7 @@
   }
   auto link = std::make_shared<InboundLink>();
   link->m_node = aHello.node;
+  link->m_number = m_nextInboundLink++;
   link->m_crossRegion = aHello.region != m_identity.m_region;
   link->m_connection = std::make_unique<net::FrameConnection>(std::move(socket));
   routing::EstimateDelay(link->m_delayEstimator, aHello.sent_ms, Clock::Now());
@@ -79,6 +83,11 @@
     aLink->m_connection->Send(wire::EncodeFrame(wire::MakeEnvelope(std::move(answer))));
     return;
   }
+  if (aMessage.body.type == wire::Body::BodyChunk) {
+    const wire::BodyChunkT& chunk = *aMessage.body.AsBodyChunk();
+    m_bodies.AddChunk({ .m_link = aLink->m_number, .m_call = chunk.id }, chunk);
+    return;
+  }
   if (aMessage.body.type != wire::Body::Call) {
     return;
   }
@@ -96,6 +105,42 @@
     asio::bind_cancellation_slot(run->m_cancel.slot(), [run](const std::exception_ptr&) {}));
 }
 
+// Receives the body that a call announces, unless the call would be refused afterwards. Returns the
+// answer to the call if it does not run.
+Awaitable<std::optional<AnswerT>>
+CallProxy::ReceiveBody(InboundLinkPtr aLink, CallT& aCall)
+{
+  const Instant start = Clock::Now();
+  if (!aCall.forwarded) {
+    std::optional<AnswerT> refusal =
+      m_runner.RefuseEarly(aCall, aLink->m_node, m_bodies.TransferMs(aCall.body_size));
+    if (refusal) {
+      co_return refusal;
+    }
+  }
+  const InboundCallId id{ .m_link = aLink->m_number, .m_call = aCall.id };
+  BodyReceiver::SendFrame send = [weak = std::weak_ptr(aLink)](std::string aFrame) {
+    if (const InboundLinkPtr link = weak.lock()) {
+      link->m_connection->Send(std::move(aFrame));
+    }
+  };
+  const bool complete = co_await m_bodies.Receive(id, aCall, std::move(send));
+  if (!complete) {
+    AnswerT answer;
+    answer.outcome = CallOutcome::NotRun;
+    answer.overloaded = true;
+    answer.reason = "the body did not arrive in time";
+    co_return answer;
+  }
+  const Milliseconds elapsedMs = Clock::Now() - start;
+  aCall.timeout_ms -=
+    static_cast<std::uint32_t>(std::min<Milliseconds>(elapsedMs, aCall.timeout_ms));
+  aCall.objective_ms -= aCall.objective_ms == 0 ? 0 : static_cast<std::int32_t>(elapsedMs);
+  // The body has crossed the network, so that any other target would cost more than the wait here.
+  aCall.most_wait_ms = kUnlimitedWait;
+  co_return std::nullopt;
+}
+
 Awaitable<void>
 CallProxy::ServeCall(InboundLinkPtr aLink, CallT aCall, std::shared_ptr<TargetRun> aRun)
 {
@@ -111,13 +156,24 @@
   const Span span(TraceOf(aCall), "serve", m_random);
   aCall.parent_span = span.Context().m_parentSpan;
   AnswerT answer;
-  if (aCall.forwarded) {
+  const std::int64_t arrivedUs = Clock::NowMicroseconds();
+  std::optional<AnswerT> refusal;
+  if (aCall.body_size > 0) {
+    refusal = co_await ReceiveBody(aLink, aCall);
+  }
+  const auto bodyUs = static_cast<std::uint32_t>(Clock::NowMicroseconds() - arrivedUs);
+  if (refusal) {
+    answer = std::move(*refusal);
+  } else if (aCall.forwarded) {
     answer = co_await AnswerForwarded(std::move(aCall));
   } else {
     co_await HoldForVersion(aCall.version);
     answer = co_await m_runner.Run(std::move(aCall), aLink->m_node, aRun);
   }
   answer.id = id;
+  answer.held_us += bodyUs;
+  answer.body_wait_ms = m_bodies.TransferMs(0);
+  answer.outstanding = static_cast<std::uint16_t>(answer.outstanding + m_bodies.Count());
   span.End(NameOf(answer.outcome), "target");
   aLink->m_connection->Send(wire::EncodeFrame(wire::MakeEnvelope(std::move(answer))));
 }
--- a/modules/node/src/Settings.cpp
+++ b/modules/node/src/Settings.cpp
@@ -176,6 +176,9 @@
   ObjectReader reader = MakeReader(aObject, "peer");
   BOOST_LEAF_ASSIGN(aSettings.m_peerListen, ReadAddress(reader, "listen", "peer"));
   BOOST_LEAF_ASSIGN(aSettings.m_peerHints, reader.TextList("hints"));
+  BOOST_LEAF_ASSIGN(
+    aSettings.m_linkMbps,
+    reader.Real("link_mbps", { .m_default = aSettings.m_linkMbps, .m_min = 0.1, .m_max = 1e6 }));
   for (const std::string& hint : aSettings.m_peerHints) {
     BOOST_LEAF_CHECK(net::ParseAddress(hint));
   }
@@ -297,7 +300,10 @@
     { "admin",
       { { "listen", aSettings.m_adminListen },
         { "token", aSettings.m_adminToken.empty() ? "" : "(set)" } } },
-    { "peer", { { "listen", aSettings.m_peerListen }, { "hints", hints } } },
+    { "peer",
+      { { "listen", aSettings.m_peerListen },
+        { "hints", hints },
+        { "link_mbps", aSettings.m_linkMbps } } },
     { "platform",
       { { "log", aSettings.m_platformLog }, { "operator_record", aSettings.m_operatorRecord } } },
     { "trace", { { "sample", aSettings.m_traceSample } } },
--- a/modules/node/src/TargetRunner.cpp
+++ b/modules/node/src/TargetRunner.cpp
@@ -288,6 +288,39 @@
   return answer;
 }
 
+AnswerT
+TargetRunner::MakeFullRefusal(const routing::AdmissionResult& aAdmission) const
+{
+  AnswerT full = MakeRefusal(aAdmission.m_rateLimited ? "the target is at the limit that it named"
+                                                      : "the target is full",
+                             true);
+  full.retry_after_ms = static_cast<std::uint32_t>(
+    std::clamp<Milliseconds>(aAdmission.m_waitMs, kMinRetryAfterMs, kMaxRetryAfterMs));
+  return full;
+}
+
+std::optional<AnswerT>
+TargetRunner::RefuseEarly(const CallT& aCall, const std::string& aCaller, Milliseconds aBodyMs)
+{
+  const std::string reason = RefusalReason(aCall);
+  if (!reason.empty()) {
+    LogRefused(aCall, aCaller, reason, 0);
+    return MakeRefusal(reason, false);
+  }
+  const Instant now = Clock::Now();
+  routing::AdmissionRequest request = MakeAdmissionRequest(aCall, aCaller);
+  // The body is received while the request would wait for a slot.
+  request.m_deadline = request.m_deadline + -aBodyMs;
+  routing::AdmissionResult predicted = routing::Predict(m_admissionQueue, request, now);
+  const bool waitsForBody = aBodyMs > request.m_maxWaitMs;
+  if (predicted.m_admission != routing::Admission::Shed && !waitsForBody) {
+    return std::nullopt;
+  }
+  predicted.m_waitMs = std::max(predicted.m_waitMs, aBodyMs);
+  LogRefused(aCall, aCaller, "the target is full", predicted.m_waitMs);
+  return MakeFullRefusal(predicted);
+}
+
 void
 TargetRunner::ApplyDecision(const routing::QueueDecision& aDecision)
 {
@@ -492,11 +525,7 @@
   m_metrics.RecordQueueWait(admitted ? QueueResult::Run : QueueResult::Refused, waitedUs);
   if (!admitted) {
     m_shared.m_calls.m_shed.fetch_add(1, std::memory_order_relaxed);
-    AnswerT full = MakeRefusal(admission.m_rateLimited ? "the target is at the limit that it named"
-                                                       : "the target is full",
-                               true);
-    full.retry_after_ms = static_cast<std::uint32_t>(
-      std::clamp<Milliseconds>(admission.m_waitMs, kMinRetryAfterMs, kMaxRetryAfterMs));
+    AnswerT full = MakeFullRefusal(admission);
     LogRefused(aCall, aCaller, full.reason, admission.m_waitMs);
     co_return full;
   }
--- a/modules/node/src/TargetRunner.h
+++ b/modules/node/src/TargetRunner.h
@@ -63,6 +63,12 @@
   net::Awaitable<wire::AnswerT> Run(wire::CallT aCall,
                                     std::string aCaller,
                                     std::shared_ptr<TargetRun> aRun);
+  /// Decides early about a call whose body is not received yet.
+  /// @param aBodyMs estimated time until its body is complete, in milliseconds.
+  /// @return the answer to a call that would be refused, or nothing.
+  std::optional<wire::AnswerT> RefuseEarly(const wire::CallT& aCall,
+                                           const std::string& aCaller,
+                                           Milliseconds aBodyMs);
   /// @return the number of running and queued requests.
   std::uint32_t Outstanding() const;
   /// @return the target's latest report; null if it has none.
@@ -104,6 +110,7 @@
                     const net::HttpResponse& aResponse);
   void ApplyServiceLimits(const std::string& aService);
   wire::AnswerT MakeRefusal(std::string_view aReason, bool aOverloaded) const;
+  wire::AnswerT MakeFullRefusal(const routing::AdmissionResult& aAdmission) const;
 
   net::asio::io_context& m_context;
   SharedState& m_shared;
--- a/modules/node/tests/SettingsTest.cpp
+++ b/modules/node/tests/SettingsTest.cpp
@@ -44,6 +44,7 @@
   const Settings settings =
     Handle([] { return ParseSettings(kValidSettings); }, [](const Error&) { return Settings(); });
   CHECK(settings.m_peerHints.size() == 1);
+  CHECK(settings.m_linkMbps == 1000);
   const auto shown = boost::json::parse(SettingsText(settings)).as_object();
   CHECK(shown.at("timings").as_object().at("heartbeat_ms").to_number<std::uint64_t>() == 1000);
   CHECK(shown.at("admin").as_object().at("token").as_string() == "(set)");
@@ -71,6 +72,9 @@
       "\"timings\":{\"heartbeat_ms\":5},\"log\":{",
       "settings.timings.heartbeat_ms: set it to a whole number from 100 to 10000" },
     { "\"t\"}", "7}", "settings.admin.token: set it to a text that is not empty" },
+    { "\"hints\":",
+      "\"link_mbps\":0,\"hints\":",
+      "settings.peer.link_mbps: set it to a number from 0.1 to 1000000" },
     { "[\"127", "[7,\"127", "settings.peer.hints: set it to a list of texts that are not empty" },
   };
   for (const InvalidCase& invalid : cases) {
--- a/modules/routing/include/AdmissionQueue.h
+++ b/modules/routing/include/AdmissionQueue.h
@@ -95,6 +95,10 @@
   std::vector<std::uint64_t> m_shed;
 };
 
+/// @return what Offer would decide about a request, whose m_arrivalOrder is taken as the latest.
+AdmissionResult
+Predict(const AdmissionQueue& aQueue, const AdmissionRequest& aRequest, Instant aNow);
+
 /// Decides whether a request runs, is queued or is shed.
 AdmissionResult
 Offer(AdmissionQueue& aQueue, const AdmissionRequest& aRequest, Instant aNow);
--- a/modules/routing/include/Picker.h
+++ b/modules/routing/include/Picker.h
@@ -57,6 +57,8 @@
   std::uint32_t m_serviceUs = 0;
   /// Time until the limit that the target named lets one more request pass; 0 if at once.
   Milliseconds m_rateWaitMs = 0;
+  /// Time until the bodies that its node is receiving are complete.
+  Milliseconds m_bodyWaitMs = 0;
 };
 
 /// What this node observed of one target on its own calls.
@@ -80,6 +82,8 @@
   double m_rttUs = 0;
   /// Before this instant the limit that the target named probably lets no request pass.
   Instant m_rateLimitedUntil;
+  /// When the bodies that its node was receiving are probably complete.
+  Instant m_bodiesUntil;
   /// Refusals for that limit since the last answer.
   std::uint32_t m_rateRefusals = 0;
   /// Failures since the last answer.
@@ -113,6 +117,8 @@
   const std::set<std::string, std::less<>>* m_tried = nullptr;
   /// Expected size of request and answer together.
   double m_kilobytes = 1;
+  /// Its body has to wait until the target's node has received those of others.
+  bool m_largeBody = false;
   /// Average run time of the route's requests over all targets, in microseconds; 0 if not known.
   double m_routeAverageUs = 0;
   TransferCosts m_transferCosts;
--- a/modules/routing/src/AdmissionQueue.cpp
+++ b/modules/routing/src/AdmissionQueue.cpp
@@ -167,30 +167,46 @@
 } // namespace
 
 AdmissionResult
-Offer(AdmissionQueue& aQueue, const AdmissionRequest& aRequest, Instant aNow)
+Predict(const AdmissionQueue& aQueue, const AdmissionRequest& aRequest, Instant aNow)
 {
   if (aNow >= aRequest.m_deadline) {
     return { .m_admission = Admission::Shed, .m_waitMs = 0 };
   }
   const bool hasFreeSlot = aQueue.m_running < aQueue.m_options.m_slots;
-  if (hasFreeSlot && aQueue.m_waiting.empty() && TryTake(aQueue.m_rateLimiter, aNow)) {
-    ++aQueue.m_running;
+  if (hasFreeSlot && aQueue.m_waiting.empty() &&
+      WaitForTokenMs(aQueue.m_rateLimiter, 0, aNow) == 0) {
     return { .m_admission = Admission::Run, .m_waitMs = 0 };
   }
-  AdmissionRequest waiting = aRequest;
-  waiting.m_arrivalOrder = ++aQueue.m_arrivalCount;
-  const WorkAhead ahead = WorkAheadOf(aQueue, waiting, aNow);
+  AdmissionRequest latest = aRequest;
+  latest.m_arrivalOrder = aQueue.m_arrivalCount + 1;
+  const WorkAhead ahead = WorkAheadOf(aQueue, latest, aNow);
   const auto wait = static_cast<Milliseconds>(WaitAfterMs(aQueue, ahead, aNow));
   const bool rateLimited = DrainTimeMs(aQueue, ahead.m_workMs) < static_cast<double>(wait);
   const Milliseconds maxWait = std::min(aRequest.m_maxWaitMs, aQueue.m_options.m_queueMs);
-  if (IsQueueFull(aQueue, aRequest.m_caller) || wait > maxWait ||
-      !EndsInTime(aQueue, aRequest, aNow + wait)) {
-    return { .m_admission = Admission::Shed, .m_waitMs = wait, .m_rateLimited = rateLimited };
+  const bool refused = IsQueueFull(aQueue, aRequest.m_caller) || wait > maxWait ||
+                       !EndsInTime(aQueue, aRequest, aNow + wait);
+  return { .m_admission = refused ? Admission::Shed : Admission::Wait,
+           .m_waitMs = wait,
+           .m_rateLimited = rateLimited };
+}
+
+AdmissionResult
+Offer(AdmissionQueue& aQueue, const AdmissionRequest& aRequest, Instant aNow)
+{
+  const AdmissionResult result = Predict(aQueue, aRequest, aNow);
+  if (result.m_admission == Admission::Run) {
+    TryTake(aQueue.m_rateLimiter, aNow);
+    ++aQueue.m_running;
   }
+  if (result.m_admission != Admission::Wait) {
+    return result;
+  }
+  AdmissionRequest waiting = aRequest;
+  waiting.m_arrivalOrder = ++aQueue.m_arrivalCount;
   waiting.m_latestStart = std::min(aNow + aQueue.m_options.m_queueMs, aRequest.m_deadline);
   aQueue.m_lastServed.try_emplace(aRequest.m_caller, 0);
   aQueue.m_waiting.push_back(std::move(waiting));
-  return { .m_admission = Admission::Wait, .m_waitMs = wait, .m_rateLimited = rateLimited };
+  return result;
 }
 
 QueueDecision
--- a/modules/routing/src/Picker.cpp
+++ b/modules/routing/src/Picker.cpp
@@ -140,7 +140,9 @@
   const Locality locality = LocalityOf(aCandidate, aRequest.m_region, aRequest.m_failureDomain);
   const double rttMs = stats.m_rttUs > 0 ? stats.m_rttUs / kUsPerMs
                                          : kDefaultRttMs[static_cast<std::size_t>(locality)];
-  const double waitMs = PredictedWaitMs(aCandidate, stats, aNow);
+  const double bodyWaitMs =
+    aRequest.m_largeBody ? static_cast<double>(stats.m_bodiesUntil - aNow) : 0;
+  const double waitMs = std::max(PredictedWaitMs(aCandidate, stats, aNow), bodyWaitMs);
   return { .m_index = aIndex,
            .m_costMs =
              TransferCostMs(aRequest, locality) +
@@ -226,6 +228,7 @@
     aStats.m_serviceUs = aReport.m_serviceUs;
   }
   aStats.m_rateLimitedUntil = aNow + aReport.m_rateWaitMs;
+  aStats.m_bodiesUntil = aNow + aReport.m_bodyWaitMs;
 }
 
 // aBaseMs doubled for each of aRepeats up to aMaxMs, of which at least half is kept.
--- a/modules/wire/include/Messages_generated.h
+++ b/modules/wire/include/Messages_generated.h
@@ -112,6 +112,14 @@
 struct ProbeBuilder;
 struct ProbeT;
 
+struct BodyGrant;
+struct BodyGrantBuilder;
+struct BodyGrantT;
+
+struct BodyChunk;
+struct BodyChunkBuilder;
+struct BodyChunkT;
+
 struct Envelope;
 struct EnvelopeBuilder;
 struct EnvelopeT;
@@ -317,11 +325,13 @@
   OperatorRecord = 15,
   OperatorPull = 16,
   Probe = 17,
+  BodyGrant = 18,
+  BodyChunk = 19,
   MIN = NONE,
-  MAX = Probe
+  MAX = BodyChunk
 };
 
-inline const Body (&EnumValuesBody())[18] {
+inline const Body (&EnumValuesBody())[20] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -340,13 +350,15 @@
     Body::Cancel,
     Body::OperatorRecord,
     Body::OperatorPull,
-    Body::Probe
+    Body::Probe,
+    Body::BodyGrant,
+    Body::BodyChunk
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[19] = {
+  static const char * const names[21] = {
     "NONE",
     "Hello",
     "Join",
@@ -365,13 +377,15 @@
     "OperatorRecord",
     "OperatorPull",
     "Probe",
+    "BodyGrant",
+    "BodyChunk",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::Probe)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::BodyChunk)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -448,6 +462,14 @@
   static const Body enum_value = Body::Probe;
 };
 
+template<> struct BodyTraits<sequoiastep::wire::BodyGrant> {
+  static const Body enum_value = Body::BodyGrant;
+};
+
+template<> struct BodyTraits<sequoiastep::wire::BodyChunk> {
+  static const Body enum_value = Body::BodyChunk;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -520,6 +542,14 @@
   static const Body enum_value = Body::Probe;
 };
 
+template<> struct BodyUnionTraits<sequoiastep::wire::BodyGrantT> {
+  static const Body enum_value = Body::BodyGrant;
+};
+
+template<> struct BodyUnionTraits<sequoiastep::wire::BodyChunkT> {
+  static const Body enum_value = Body::BodyChunk;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -686,6 +716,22 @@
     return type == Body::Probe ?
       reinterpret_cast<const sequoiastep::wire::ProbeT *>(value) : nullptr;
   }
+  sequoiastep::wire::BodyGrantT *AsBodyGrant() {
+    return type == Body::BodyGrant ?
+      reinterpret_cast<sequoiastep::wire::BodyGrantT *>(value) : nullptr;
+  }
+  const sequoiastep::wire::BodyGrantT *AsBodyGrant() const {
+    return type == Body::BodyGrant ?
+      reinterpret_cast<const sequoiastep::wire::BodyGrantT *>(value) : nullptr;
+  }
+  sequoiastep::wire::BodyChunkT *AsBodyChunk() {
+    return type == Body::BodyChunk ?
+      reinterpret_cast<sequoiastep::wire::BodyChunkT *>(value) : nullptr;
+  }
+  const sequoiastep::wire::BodyChunkT *AsBodyChunk() const {
+    return type == Body::BodyChunk ?
+      reinterpret_cast<const sequoiastep::wire::BodyChunkT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -2824,6 +2870,7 @@
   std::string route{};
   uint32_t most_wait_ms = 4294967295;
   std::unique_ptr<sequoiastep::wire::TargetNoticeT> remembered{};
+  uint32_t body_size = 0;
   CallT() = default;
   CallT(const CallT &o);
   CallT(CallT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -2858,7 +2905,8 @@
     VT_OBJECTIVE_MS = 44,
     VT_ROUTE = 46,
     VT_MOST_WAIT_MS = 48,
-    VT_REMEMBERED = 50
+    VT_REMEMBERED = 50,
+    VT_BODY_SIZE = 52
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -2942,6 +2990,11 @@
   const sequoiastep::wire::TargetNotice *remembered() const {
     return GetPointer<const sequoiastep::wire::TargetNotice *>(VT_REMEMBERED);
   }
+  /// Size of a body that is not in this message: the sender sends it in BodyChunks as it gets
+  /// BodyGrants. 0 if `body` is the whole body.
+  uint32_t body_size() const {
+    return GetField<uint32_t>(VT_BODY_SIZE, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -2979,6 +3032,7 @@
            VerifyField<uint32_t>(verifier, VT_MOST_WAIT_MS, 4) &&
            VerifyOffset(verifier, VT_REMEMBERED) &&
            verifier.VerifyTable(remembered()) &&
+           VerifyField<uint32_t>(verifier, VT_BODY_SIZE, 4) &&
            verifier.EndTable();
   }
   CallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3062,6 +3116,9 @@
   void add_remembered(flatbuffers::Offset<sequoiastep::wire::TargetNotice> remembered) {
     fbb_.AddOffset(Call::VT_REMEMBERED, remembered);
   }
+  void add_body_size(uint32_t body_size) {
+    fbb_.AddElement<uint32_t>(Call::VT_BODY_SIZE, body_size, 0);
+  }
   explicit CallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3098,7 +3155,8 @@
     int32_t objective_ms = 0,
     flatbuffers::Offset<flatbuffers::String> route = 0,
     uint32_t most_wait_ms = 4294967295,
-    flatbuffers::Offset<sequoiastep::wire::TargetNotice> remembered = 0) {
+    flatbuffers::Offset<sequoiastep::wire::TargetNotice> remembered = 0,
+    uint32_t body_size = 0) {
   CallBuilder builder_(_fbb);
   builder_.add_sent_ms(sent_ms);
   builder_.add_parent_span(parent_span);
@@ -3106,6 +3164,7 @@
   builder_.add_trace_high(trace_high);
   builder_.add_version(version);
   builder_.add_id(id);
+  builder_.add_body_size(body_size);
   builder_.add_remembered(remembered);
   builder_.add_most_wait_ms(most_wait_ms);
   builder_.add_route(route);
@@ -3157,7 +3216,8 @@
     int32_t objective_ms = 0,
     const char *route = nullptr,
     uint32_t most_wait_ms = 4294967295,
-    flatbuffers::Offset<sequoiastep::wire::TargetNotice> remembered = 0) {
+    flatbuffers::Offset<sequoiastep::wire::TargetNotice> remembered = 0,
+    uint32_t body_size = 0) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto method__ = method ? _fbb.CreateString(method) : 0;
   auto target__ = target ? _fbb.CreateString(target) : 0;
@@ -3192,7 +3252,8 @@
       objective_ms,
       route__,
       most_wait_ms,
-      remembered);
+      remembered,
+      body_size);
 }
 
 flatbuffers::Offset<Call> CreateCall(flatbuffers::FlatBufferBuilder &_fbb, const CallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3215,6 +3276,7 @@
   uint32_t ran_us = 0;
   std::unique_ptr<sequoiastep::wire::TargetNoticeT> notice{};
   uint32_t rate_wait_ms = 0;
+  uint32_t body_wait_ms = 0;
   AnswerT() = default;
   AnswerT(const AnswerT &o);
   AnswerT(AnswerT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3241,7 +3303,8 @@
     VT_SERVICE_US = 28,
     VT_RAN_US = 30,
     VT_NOTICE = 32,
-    VT_RATE_WAIT_MS = 34
+    VT_RATE_WAIT_MS = 34,
+    VT_BODY_WAIT_MS = 36
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -3299,6 +3362,10 @@
   uint32_t rate_wait_ms() const {
     return GetField<uint32_t>(VT_RATE_WAIT_MS, 0);
   }
+  /// Time until the bodies that the answering node is receiving are complete, in milliseconds.
+  uint32_t body_wait_ms() const {
+    return GetField<uint32_t>(VT_BODY_WAIT_MS, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -3322,6 +3389,7 @@
            VerifyOffset(verifier, VT_NOTICE) &&
            verifier.VerifyTable(notice()) &&
            VerifyField<uint32_t>(verifier, VT_RATE_WAIT_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_BODY_WAIT_MS, 4) &&
            verifier.EndTable();
   }
   AnswerT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3381,6 +3449,9 @@
   void add_rate_wait_ms(uint32_t rate_wait_ms) {
     fbb_.AddElement<uint32_t>(Answer::VT_RATE_WAIT_MS, rate_wait_ms, 0);
   }
+  void add_body_wait_ms(uint32_t body_wait_ms) {
+    fbb_.AddElement<uint32_t>(Answer::VT_BODY_WAIT_MS, body_wait_ms, 0);
+  }
   explicit AnswerBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3409,9 +3480,11 @@
     uint32_t service_us = 0,
     uint32_t ran_us = 0,
     flatbuffers::Offset<sequoiastep::wire::TargetNotice> notice = 0,
-    uint32_t rate_wait_ms = 0) {
+    uint32_t rate_wait_ms = 0,
+    uint32_t body_wait_ms = 0) {
   AnswerBuilder builder_(_fbb);
   builder_.add_id(id);
+  builder_.add_body_wait_ms(body_wait_ms);
   builder_.add_rate_wait_ms(rate_wait_ms);
   builder_.add_notice(notice);
   builder_.add_ran_us(ran_us);
@@ -3452,7 +3525,8 @@
     uint32_t service_us = 0,
     uint32_t ran_us = 0,
     flatbuffers::Offset<sequoiastep::wire::TargetNotice> notice = 0,
-    uint32_t rate_wait_ms = 0) {
+    uint32_t rate_wait_ms = 0,
+    uint32_t body_wait_ms = 0) {
   auto reason__ = reason ? _fbb.CreateString(reason) : 0;
   auto headers__ = headers ? _fbb.CreateVector<flatbuffers::Offset<sequoiastep::wire::Header>>(*headers) : 0;
   auto body__ = body ? _fbb.CreateVector<uint8_t>(*body) : 0;
@@ -3473,7 +3547,8 @@
       service_us,
       ran_us,
       notice,
-      rate_wait_ms);
+      rate_wait_ms,
+      body_wait_ms);
 }
 
 flatbuffers::Offset<Answer> CreateAnswer(flatbuffers::FlatBufferBuilder &_fbb, const AnswerT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3595,6 +3670,158 @@
 
 flatbuffers::Offset<Probe> CreateProbe(flatbuffers::FlatBufferBuilder &_fbb, const ProbeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct BodyGrantT : public flatbuffers::NativeTable {
+  typedef BodyGrant TableType;
+  uint64_t id = 0;
+  uint32_t up_to = 0;
+};
+
+/// Allows the sender of a Call with a body_size to send its body up to this offset.
+struct BodyGrant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef BodyGrantT NativeTableType;
+  typedef BodyGrantBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_UP_TO = 6
+  };
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
+  }
+  uint32_t up_to() const {
+    return GetField<uint32_t>(VT_UP_TO, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyField<uint32_t>(verifier, VT_UP_TO, 4) &&
+           verifier.EndTable();
+  }
+  BodyGrantT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(BodyGrantT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<BodyGrant> Pack(flatbuffers::FlatBufferBuilder &_fbb, const BodyGrantT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct BodyGrantBuilder {
+  typedef BodyGrant Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(BodyGrant::VT_ID, id, 0);
+  }
+  void add_up_to(uint32_t up_to) {
+    fbb_.AddElement<uint32_t>(BodyGrant::VT_UP_TO, up_to, 0);
+  }
+  explicit BodyGrantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<BodyGrant> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<BodyGrant>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<BodyGrant> CreateBodyGrant(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    uint32_t up_to = 0) {
+  BodyGrantBuilder builder_(_fbb);
+  builder_.add_id(id);
+  builder_.add_up_to(up_to);
+  return builder_.Finish();
+}
+
+struct BodyGrant::Traits {
+  using type = BodyGrant;
+  static auto constexpr Create = CreateBodyGrant;
+};
+
+flatbuffers::Offset<BodyGrant> CreateBodyGrant(flatbuffers::FlatBufferBuilder &_fbb, const BodyGrantT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct BodyChunkT : public flatbuffers::NativeTable {
+  typedef BodyChunk TableType;
+  uint64_t id = 0;
+  std::vector<uint8_t> bytes{};
+};
+
+/// The next bytes of the body of a Call.
+struct BodyChunk FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef BodyChunkT NativeTableType;
+  typedef BodyChunkBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_BYTES = 6
+  };
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
+  }
+  const flatbuffers::Vector<uint8_t> *bytes() const {
+    return GetPointer<const flatbuffers::Vector<uint8_t> *>(VT_BYTES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyOffset(verifier, VT_BYTES) &&
+           verifier.VerifyVector(bytes()) &&
+           verifier.EndTable();
+  }
+  BodyChunkT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(BodyChunkT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<BodyChunk> Pack(flatbuffers::FlatBufferBuilder &_fbb, const BodyChunkT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct BodyChunkBuilder {
+  typedef BodyChunk Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(BodyChunk::VT_ID, id, 0);
+  }
+  void add_bytes(flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bytes) {
+    fbb_.AddOffset(BodyChunk::VT_BYTES, bytes);
+  }
+  explicit BodyChunkBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<BodyChunk> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<BodyChunk>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<BodyChunk> CreateBodyChunk(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    flatbuffers::Offset<flatbuffers::Vector<uint8_t>> bytes = 0) {
+  BodyChunkBuilder builder_(_fbb);
+  builder_.add_id(id);
+  builder_.add_bytes(bytes);
+  return builder_.Finish();
+}
+
+struct BodyChunk::Traits {
+  using type = BodyChunk;
+  static auto constexpr Create = CreateBodyChunk;
+};
+
+inline flatbuffers::Offset<BodyChunk> CreateBodyChunkDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    const std::vector<uint8_t> *bytes = nullptr) {
+  auto bytes__ = bytes ? _fbb.CreateVector<uint8_t>(*bytes) : 0;
+  return sequoiastep::wire::CreateBodyChunk(
+      _fbb,
+      id,
+      bytes__);
+}
+
+flatbuffers::Offset<BodyChunk> CreateBodyChunk(flatbuffers::FlatBufferBuilder &_fbb, const BodyChunkT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct EnvelopeT : public flatbuffers::NativeTable {
   typedef Envelope TableType;
   sequoiastep::wire::BodyUnion body{};
@@ -3666,6 +3893,12 @@
   const sequoiastep::wire::Probe *body_as_Probe() const {
     return body_type() == sequoiastep::wire::Body::Probe ? static_cast<const sequoiastep::wire::Probe *>(body()) : nullptr;
   }
+  const sequoiastep::wire::BodyGrant *body_as_BodyGrant() const {
+    return body_type() == sequoiastep::wire::Body::BodyGrant ? static_cast<const sequoiastep::wire::BodyGrant *>(body()) : nullptr;
+  }
+  const sequoiastep::wire::BodyChunk *body_as_BodyChunk() const {
+    return body_type() == sequoiastep::wire::Body::BodyChunk ? static_cast<const sequoiastep::wire::BodyChunk *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -3746,6 +3979,14 @@
   return body_as_Probe();
 }
 
+template<> inline const sequoiastep::wire::BodyGrant *Envelope::body_as<sequoiastep::wire::BodyGrant>() const {
+  return body_as_BodyGrant();
+}
+
+template<> inline const sequoiastep::wire::BodyChunk *Envelope::body_as<sequoiastep::wire::BodyChunk>() const {
+  return body_as_BodyChunk();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -4703,7 +4944,8 @@
         objective_ms(o.objective_ms),
         route(o.route),
         most_wait_ms(o.most_wait_ms),
-        remembered((o.remembered) ? new sequoiastep::wire::TargetNoticeT(*o.remembered) : nullptr) {
+        remembered((o.remembered) ? new sequoiastep::wire::TargetNoticeT(*o.remembered) : nullptr),
+        body_size(o.body_size) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new sequoiastep::wire::HeaderT(*headers_) : nullptr); }
 }
@@ -4733,6 +4975,7 @@
   std::swap(route, o.route);
   std::swap(most_wait_ms, o.most_wait_ms);
   std::swap(remembered, o.remembered);
+  std::swap(body_size, o.body_size);
   return *this;
 }
 
@@ -4769,6 +5012,7 @@
   { auto _e = route(); if (_e) _o->route = _e->str(); }
   { auto _e = most_wait_ms(); _o->most_wait_ms = _e; }
   { auto _e = remembered(); if (_e) _o->remembered = std::unique_ptr<sequoiastep::wire::TargetNoticeT>(_e->UnPack(_resolver)); }
+  { auto _e = body_size(); _o->body_size = _e; }
 }
 
 inline flatbuffers::Offset<Call> Call::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4803,6 +5047,7 @@
   auto _route = _o->route.empty() ? 0 : _fbb.CreateString(_o->route);
   auto _most_wait_ms = _o->most_wait_ms;
   auto _remembered = _o->remembered ? CreateTargetNotice(_fbb, _o->remembered.get(), _rehasher) : 0;
+  auto _body_size = _o->body_size;
   return sequoiastep::wire::CreateCall(
       _fbb,
       _id,
@@ -4828,7 +5073,8 @@
       _objective_ms,
       _route,
       _most_wait_ms,
-      _remembered);
+      _remembered,
+      _body_size);
 }
 
 inline AnswerT::AnswerT(const AnswerT &o)
@@ -4846,7 +5092,8 @@
         service_us(o.service_us),
         ran_us(o.ran_us),
         notice((o.notice) ? new sequoiastep::wire::TargetNoticeT(*o.notice) : nullptr),
-        rate_wait_ms(o.rate_wait_ms) {
+        rate_wait_ms(o.rate_wait_ms),
+        body_wait_ms(o.body_wait_ms) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new sequoiastep::wire::HeaderT(*headers_) : nullptr); }
 }
@@ -4868,6 +5115,7 @@
   std::swap(ran_us, o.ran_us);
   std::swap(notice, o.notice);
   std::swap(rate_wait_ms, o.rate_wait_ms);
+  std::swap(body_wait_ms, o.body_wait_ms);
   return *this;
 }
 
@@ -4896,6 +5144,7 @@
   { auto _e = ran_us(); _o->ran_us = _e; }
   { auto _e = notice(); if (_e) _o->notice = std::unique_ptr<sequoiastep::wire::TargetNoticeT>(_e->UnPack(_resolver)); }
   { auto _e = rate_wait_ms(); _o->rate_wait_ms = _e; }
+  { auto _e = body_wait_ms(); _o->body_wait_ms = _e; }
 }
 
 inline flatbuffers::Offset<Answer> Answer::Pack(flatbuffers::FlatBufferBuilder &_fbb, const AnswerT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4922,6 +5171,7 @@
   auto _ran_us = _o->ran_us;
   auto _notice = _o->notice ? CreateTargetNotice(_fbb, _o->notice.get(), _rehasher) : 0;
   auto _rate_wait_ms = _o->rate_wait_ms;
+  auto _body_wait_ms = _o->body_wait_ms;
   return sequoiastep::wire::CreateAnswer(
       _fbb,
       _id,
@@ -4939,7 +5189,8 @@
       _service_us,
       _ran_us,
       _notice,
-      _rate_wait_ms);
+      _rate_wait_ms,
+      _body_wait_ms);
 }
 
 inline CancelT *Cancel::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -4994,6 +5245,64 @@
       _answer);
 }
 
+inline BodyGrantT *BodyGrant::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<BodyGrantT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void BodyGrant::UnPackTo(BodyGrantT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = id(); _o->id = _e; }
+  { auto _e = up_to(); _o->up_to = _e; }
+}
+
+inline flatbuffers::Offset<BodyGrant> BodyGrant::Pack(flatbuffers::FlatBufferBuilder &_fbb, const BodyGrantT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateBodyGrant(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<BodyGrant> CreateBodyGrant(flatbuffers::FlatBufferBuilder &_fbb, const BodyGrantT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const BodyGrantT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id;
+  auto _up_to = _o->up_to;
+  return sequoiastep::wire::CreateBodyGrant(
+      _fbb,
+      _id,
+      _up_to);
+}
+
+inline BodyChunkT *BodyChunk::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<BodyChunkT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void BodyChunk::UnPackTo(BodyChunkT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = id(); _o->id = _e; }
+  { auto _e = bytes(); if (_e) { _o->bytes.resize(_e->size()); std::copy(_e->begin(), _e->end(), _o->bytes.begin()); } }
+}
+
+inline flatbuffers::Offset<BodyChunk> BodyChunk::Pack(flatbuffers::FlatBufferBuilder &_fbb, const BodyChunkT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateBodyChunk(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<BodyChunk> CreateBodyChunk(flatbuffers::FlatBufferBuilder &_fbb, const BodyChunkT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const BodyChunkT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id;
+  auto _bytes = _o->bytes.size() ? _fbb.CreateVector(_o->bytes) : 0;
+  return sequoiastep::wire::CreateBodyChunk(
+      _fbb,
+      _id,
+      _bytes);
+}
+
 inline EnvelopeT *Envelope::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<EnvelopeT>();
   UnPackTo(_o.get(), _resolver);
@@ -5140,6 +5449,14 @@
       auto ptr = reinterpret_cast<const sequoiastep::wire::Probe *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::BodyGrant: {
+      auto ptr = reinterpret_cast<const sequoiastep::wire::BodyGrant *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::BodyChunk: {
+      auto ptr = reinterpret_cast<const sequoiastep::wire::BodyChunk *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -5227,6 +5544,14 @@
       auto ptr = reinterpret_cast<const sequoiastep::wire::Probe *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::BodyGrant: {
+      auto ptr = reinterpret_cast<const sequoiastep::wire::BodyGrant *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::BodyChunk: {
+      auto ptr = reinterpret_cast<const sequoiastep::wire::BodyChunk *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -5302,6 +5627,14 @@
       auto ptr = reinterpret_cast<const sequoiastep::wire::ProbeT *>(value);
       return CreateProbe(_fbb, ptr, _rehasher).Union();
     }
+    case Body::BodyGrant: {
+      auto ptr = reinterpret_cast<const sequoiastep::wire::BodyGrantT *>(value);
+      return CreateBodyGrant(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::BodyChunk: {
+      auto ptr = reinterpret_cast<const sequoiastep::wire::BodyChunkT *>(value);
+      return CreateBodyChunk(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -5376,6 +5709,14 @@
       value = new sequoiastep::wire::ProbeT(*reinterpret_cast<sequoiastep::wire::ProbeT *>(u.value));
       break;
     }
+    case Body::BodyGrant: {
+      value = new sequoiastep::wire::BodyGrantT(*reinterpret_cast<sequoiastep::wire::BodyGrantT *>(u.value));
+      break;
+    }
+    case Body::BodyChunk: {
+      value = new sequoiastep::wire::BodyChunkT(*reinterpret_cast<sequoiastep::wire::BodyChunkT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -5468,6 +5809,16 @@
       delete ptr;
       break;
     }
+    case Body::BodyGrant: {
+      auto ptr = reinterpret_cast<sequoiastep::wire::BodyGrantT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::BodyChunk: {
+      auto ptr = reinterpret_cast<sequoiastep::wire::BodyChunkT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
