Let calls wait as long as expected before another target is asked; judge silent targets by the others

Cause: under load a call was refused by three targets in a row after 40 ms of wait each, although all were equally busy, and a target without a fresh report counted as idle, so it was asked first. Change: the limit of the wait is what this node expects there plus 40 ms and the cost of moving the bytes; a target without a fresh report is expected to be as busy as the average, where unknown ones count as idle. The choice of targets is now pure code (Placement).

--- a/modules/node/src/CallJob.h
+++ b/modules/node/src/CallJob.h
@@ -6,12 +6,12 @@
 #include "Documents.h"
 #include "Messages_generated.h"
 #include "Picker.h"
+#include "Placement.h"
 #include "Retry.h"
 
 #include <cstdint>
 #include <functional>
 #include <optional>
-#include <set>
 #include <string>
 
 namespace sequoiastep::node {
@@ -36,15 +36,10 @@
 /// Results of a call's attempts so far.
 struct CallAttempts
 {
-  /// Nodes that are not tried again for this call.
-  std::set<std::string, std::less<>> m_excludedNodes;
-  /// Nodes that refused the call because their target has no free slot.
-  std::set<std::string, std::less<>> m_fullNodes;
+  routing::Placement m_placement;
   /// Node of the latest attempt, and where it lies as seen from this node.
   std::string m_lastNode;
   std::optional<routing::Locality> m_lastPlace;
-  /// The latest attempt may wait for a slot until the call's deadline.
-  bool m_unlimitedWait = false;
   /// Decision after the latest attempt.
   routing::RetryDecision m_retryDecision = routing::RetryDecision::TryFree;
   routing::RetryContext m_retryContext;
--- a/modules/node/src/CallLog.cpp
+++ b/modules/node/src/CallLog.cpp
@@ -66,7 +66,7 @@
   AddAnswerFields(line, aAnswer);
   line.Add("judged", routing::NameOf(aAttempts.m_retryContext.m_outcome))
     .Add("next", routing::NameOf(aAttempts.m_retryDecision))
-    .Add("any_wait", aAttempts.m_unlimitedWait ? "yes" : "no")
+    .Add("any_wait", aAttempts.m_placement.m_anyWait ? "yes" : "no")
     .Add("their_load", aAnswer.outstanding)
     .Add("their_run_us", aAnswer.service_us)
     .Add("budget_left", std::llround(aBudgetLeft));
--- a/modules/node/src/CallProxy.h
+++ b/modules/node/src/CallProxy.h
@@ -96,13 +96,10 @@
   CallJob MakeJob(const net::HttpRequest& aRequest,
                   const config::Snapshot& aSnapshot,
                   const config::Route& aRoute);
-  Milliseconds ShortWaitLimit(const CallJob& aJob) const;
+  routing::PickRequest PickRequestFor(const CallJob& aJob) const;
   routing::RetryBudget& BudgetOf(const std::string& aService);
   bool MayOverlap(const net::HttpRequest& aRequest) const;
   void ApplyCallerLimits();
-  std::optional<routing::Candidate> PickTarget(
-    const CallJob& aJob,
-    const std::set<std::string, std::less<>>& aExcludedNodes);
   net::Awaitable<routing::AttemptOutcome> TryTarget(const CallJob& aJob,
                                                     const routing::Candidate& aTarget,
                                                     wire::AnswerT& aAnswer);
--- a/modules/node/src/CallProxyPriv.h
+++ b/modules/node/src/CallProxyPriv.h
@@ -9,9 +9,6 @@
 
 namespace sequoiastep::node {
 
-/// Value of Call.most_wait_ms for a call that may wait up to its deadline.
-constexpr std::uint32_t kUnlimitedWait = 0xffffffffU;
-
 /// @return the trace context that aCall carries.
 inline TraceContext
 TraceOf(const wire::CallT& aCall)
--- a/modules/node/src/CallProxyRoute.cpp
+++ b/modules/node/src/CallProxyRoute.cpp
@@ -45,10 +45,6 @@
 constexpr double kHeadersKilobytes = 1;
 // Assumed answer size of a route with large answers before its first answer.
 constexpr double kLargeAnswerKilobytes = 64;
-// Targets that are tried with a short wait for a slot before a wait up to the deadline is accepted.
-constexpr std::uint32_t kMaxShortWaitAttempts = 3;
-// Base of the short wait; see ShortWaitLimit.
-constexpr Milliseconds kShortWaitMs = 40;
 
 config::RouteQuery
 RouteQueryOf(const HttpRequest& aRequest)
@@ -373,28 +369,16 @@
     .Add("reason", aReason);
 }
 
-std::optional<routing::Candidate>
-CallProxy::PickTarget(const CallJob& aJob, const std::set<std::string, std::less<>>& aExcludedNodes)
+routing::PickRequest
+CallProxy::PickRequestFor(const CallJob& aJob) const
 {
-  const auto view = m_shared.m_view.load();
-  const auto service = view->m_services.find(aJob.m_call.service);
-  if (service == view->m_services.end()) {
-    return std::nullopt;
-  }
-  const auto picked =
-    routing::Pick(service->second,
-                  m_pickState,
-                  { .m_region = m_identity.m_region,
-                    .m_failureDomain = m_identity.m_failureDomain,
-                    .m_crossRegion = aJob.m_crossRegion,
-                    .m_tried = &aExcludedNodes,
-                    .m_kilobytes = aJob.m_estimatedKilobytes,
-                    .m_largeBody = aJob.m_call.body.size() > kMaxInlineBodyBytes,
-                    .m_routeAverageUs = routing::AverageOf(m_runUs, aJob.m_call.route).value_or(0),
-                    .m_objectiveMs = aJob.m_objective - Clock::Now() },
-                  Clock::Now(),
-                  m_random);
-  return picked ? std::optional(service->second[*picked]) : std::nullopt;
+  return { .m_region = m_identity.m_region,
+           .m_failureDomain = m_identity.m_failureDomain,
+           .m_crossRegion = aJob.m_crossRegion,
+           .m_kilobytes = aJob.m_estimatedKilobytes,
+           .m_largeBody = aJob.m_call.body.size() > kMaxInlineBodyBytes,
+           .m_routeAverageUs = routing::AverageOf(m_runUs, aJob.m_call.route).value_or(0),
+           .m_objectiveMs = aJob.m_objective - Clock::Now() };
 }
 
 // Runs one attempt and updates the target's statistics, also if the coroutine is cancelled.
@@ -421,37 +405,32 @@
   co_return RecordOutcome(aJob, aAnswer, aTarget.m_node, Clock::NowMicroseconds() - startUs);
 }
 
-// Maximum wait for a slot at a target while other targets may have free slots. It grows with the
-// cost of moving the call's bytes to another failure domain.
-Milliseconds
-CallProxy::ShortWaitLimit(const CallJob& aJob) const
-{
-  const routing::TransferCosts prices;
-  return kShortWaitMs +
-         static_cast<Milliseconds>(aJob.m_estimatedKilobytes * prices.m_crossDomainMsPerKb);
-}
-
 // Picks the target of the next attempt, or nothing if none is left, and sets the call's maximum
 // wait for a slot there.
 std::optional<routing::Candidate>
 CallProxy::NextTarget(CallJob& aJob, CallAttempts& aAttempts)
 {
-  auto target = PickTarget(aJob, aAttempts.m_excludedNodes);
-  if (!target) {
+  const auto view = m_shared.m_view.load();
+  const auto service = view->m_services.find(aJob.m_call.service);
+  const auto placed = service == view->m_services.end() ? std::nullopt
+                                                        : routing::Place(aAttempts.m_placement,
+                                                                         service->second,
+                                                                         m_pickState,
+                                                                         PickRequestFor(aJob),
+                                                                         Clock::Now(),
+                                                                         m_random);
+  if (!placed) {
     aAttempts.m_retryDecision = RetryDecision::StopNoTarget;
     return std::nullopt;
   }
-  // If a target that was full is still the best one, the call waits there as long as it can.
-  aAttempts.m_unlimitedWait = aAttempts.m_fullNodes.contains(target->m_node) ||
-                              aAttempts.m_fullNodes.size() >= kMaxShortWaitAttempts;
-  aJob.m_call.most_wait_ms =
-    aAttempts.m_unlimitedWait ? kUnlimitedWait : static_cast<std::uint32_t>(ShortWaitLimit(aJob));
+  const routing::Candidate& target = service->second[placed->m_index];
+  aJob.m_call.most_wait_ms = static_cast<std::uint32_t>(placed->m_maxWaitMs);
   if (aAttempts.m_retryContext.m_handovers > 0) {
     m_shared.m_calls.m_retries.fetch_add(1, std::memory_order_relaxed);
   }
-  aAttempts.m_lastNode = target->m_node;
+  aAttempts.m_lastNode = target.m_node;
   aAttempts.m_lastPlace =
-    routing::LocalityOf(*target, m_identity.m_region, m_identity.m_failureDomain);
+    routing::LocalityOf(target, m_identity.m_region, m_identity.m_failureDomain);
   ++aAttempts.m_retryContext.m_handovers;
   return target;
 }
@@ -462,7 +441,8 @@
 {
   routing::RetryBudget& budget = BudgetOf(aJob.m_call.service);
   const bool targetFull = aAttempts.m_retryContext.m_outcome == AttemptOutcome::Overloaded;
-  (targetFull ? aAttempts.m_fullNodes : aAttempts.m_excludedNodes).insert(aAttempts.m_lastNode);
+  routing::Placement& placement = aAttempts.m_placement;
+  (targetFull ? placement.m_fullNodes : placement.m_excludedNodes).insert(aAttempts.m_lastNode);
   const bool charged = aAttempts.m_retryDecision == RetryDecision::TryCharged;
   if (charged && !aAnswer.arrived) {
     routing::RefundRetry(budget, Clock::Now());
@@ -470,7 +450,7 @@
   aAttempts.m_retryContext.m_arrivals += aAnswer.arrived ? 1 : 0;
   aAttempts.m_retryContext.m_leftMs = aJob.m_deadline - Clock::Now();
   aAttempts.m_retryDecision =
-    targetFull && aAttempts.m_unlimitedWait
+    targetFull && placement.m_anyWait
       ? RetryDecision::StopFull
       : routing::DecideRetry(budget, aAttempts.m_retryContext, Clock::Now());
   if (aAttempts.m_retryContext.m_outcome != AttemptOutcome::Done) {
--- a/modules/node/src/CallProxyServe.cpp
+++ b/modules/node/src/CallProxyServe.cpp
@@ -137,7 +137,7 @@
     static_cast<std::uint32_t>(std::min<Milliseconds>(elapsedMs, aCall.timeout_ms));
   aCall.objective_ms -= aCall.objective_ms == 0 ? 0 : static_cast<std::int32_t>(elapsedMs);
   // The body has crossed the network, so that any other target would cost more than the wait here.
-  aCall.most_wait_ms = kUnlimitedWait;
+  aCall.most_wait_ms = static_cast<std::uint32_t>(routing::kAnyWaitMs);
   co_return std::nullopt;
 }
 
--- a/modules/routing/include/Picker.h
+++ b/modules/routing/include/Picker.h
@@ -146,6 +146,14 @@
 double
 PredictedWaitMs(const Candidate& aCandidate, const TargetStats& aStats, Instant aNow);
 
+/// @return the expected wait for a slot at a candidate, in milliseconds. At a target that has not
+/// reported its load lately it is longer the more others are busy.
+double
+ExpectedWaitMs(const std::vector<Candidate>& aCandidates,
+               std::size_t aIndex,
+               const PickState& aState,
+               Instant aNow);
+
 /// @return the share, above 0 and up to 1, of its slots that a target may use while it warms up.
 double
 WarmUpShare(const Candidate& aCandidate, Instant aNow);
--- a/modules/routing/src/Picker.cpp
+++ b/modules/routing/src/Picker.cpp
@@ -128,12 +128,45 @@
   return aStats.m_latencyUs == 0 && aStats.m_outstanding == 0 && uptimeMs < kExploreMaxUptimeMs;
 }
 
+bool
+HasFreshReport(const TargetStats& aStats, Instant aNow)
+{
+  return aNow - aStats.m_reportedAt < kReportMaxAgeMs;
+}
+
+// Expected wait at a target that has not reported its load lately: the average over all targets,
+// where those without a fresh report count as idle.
+double
+AverageWaitMs(const std::vector<Candidate>& aCandidates, const PickState& aState, Instant aNow)
+{
+  double sum = 0;
+  for (const Candidate& candidate : aCandidates) {
+    const TargetStats& stats = StatsOf(aState, candidate.m_node);
+    sum += HasFreshReport(stats, aNow) ? PredictedWaitMs(candidate, stats, aNow) : 0;
+  }
+  return aCandidates.empty() ? 0 : sum / static_cast<double>(aCandidates.size());
+}
+
+double
+WaitOf(const Candidate& aCandidate, const TargetStats& aStats, double aAverageWaitMs, Instant aNow)
+{
+  const double predictedMs = PredictedWaitMs(aCandidate, aStats, aNow);
+  return HasFreshReport(aStats, aNow) ? predictedMs : std::max(predictedMs, aAverageWaitMs);
+}
+
+// Averages over the targets of a service.
+struct ServiceAverages
+{
+  double m_runUs = 0;
+  double m_waitMs = 0;
+};
+
 ScoredCandidate
 ScoreCandidate(std::size_t aIndex,
                const Candidate& aCandidate,
                const PickState& aState,
                const PickRequest& aRequest,
-               double aAverageUs,
+               const ServiceAverages& aAverages,
                Instant aNow)
 {
   const TargetStats& stats = StatsOf(aState, aCandidate.m_node);
@@ -142,11 +175,11 @@
                                          : kDefaultRttMs[static_cast<std::size_t>(locality)];
   const double bodyWaitMs =
     aRequest.m_largeBody ? static_cast<double>(stats.m_bodiesUntil - aNow) : 0;
-  const double waitMs = std::max(PredictedWaitMs(aCandidate, stats, aNow), bodyWaitMs);
+  const double waitMs = std::max(WaitOf(aCandidate, stats, aAverages.m_waitMs, aNow), bodyWaitMs);
   return { .m_index = aIndex,
            .m_costMs =
              TransferCostMs(aRequest, locality) +
-             LatencyCostMs(rttMs + ServiceMs(aCandidate, stats, aAverageUs, aNow) + waitMs,
+             LatencyCostMs(rttMs + ServiceMs(aCandidate, stats, aAverages.m_runUs, aNow) + waitMs,
                            aRequest.m_objectiveMs),
            .m_estimatedMs = rttMs + waitMs,
            .m_trusted = !aCandidate.m_suspect && !IsAvoided(aCandidate, stats, aNow),
@@ -177,15 +210,17 @@
               const PickRequest& aRequest,
               Instant aNow)
 {
-  const double averageUs = aRequest.m_routeAverageUs > 0 ? aRequest.m_routeAverageUs
-                                                         : AverageServiceUs(aCandidates, aState);
+  const ServiceAverages averages{ .m_runUs = aRequest.m_routeAverageUs > 0
+                                               ? aRequest.m_routeAverageUs
+                                               : AverageServiceUs(aCandidates, aState),
+                                  .m_waitMs = AverageWaitMs(aCandidates, aState, aNow) };
   std::vector<ScoredCandidate> scored;
   for (std::size_t i = 0; i < aCandidates.size(); ++i) {
     const Candidate& candidate = aCandidates[i];
     const bool otherRegion = candidate.m_region != aRequest.m_region;
     const bool tried = aRequest.m_tried != nullptr && aRequest.m_tried->contains(candidate.m_node);
     if (!tried && (!otherRegion || aRequest.m_crossRegion)) {
-      scored.push_back(ScoreCandidate(i, candidate, aState, aRequest, averageUs, aNow));
+      scored.push_back(ScoreCandidate(i, candidate, aState, aRequest, averages, aNow));
     }
   }
   return scored;
@@ -281,7 +316,7 @@
   const double slots = UsableSlots(aCandidate, serviceMs, aNow);
   const Milliseconds ageMs = aNow - aStats.m_reportedAt;
   double load = aStats.m_outstanding;
-  if (ageMs < kReportMaxAgeMs) {
+  if (HasFreshReport(aStats, aNow)) {
     // The reported load drains at the rate of the slots; calls sent by this node since are added.
     const double done = std::min<double>(aStats.m_reportedLoad, slots) *
                         static_cast<double>(ageMs) / std::max(1.0, serviceMs);
@@ -293,6 +328,17 @@
   return std::max(slotWaitMs, static_cast<double>(aStats.m_rateLimitedUntil - aNow));
 }
 
+double
+ExpectedWaitMs(const std::vector<Candidate>& aCandidates,
+               std::size_t aIndex,
+               const PickState& aState,
+               Instant aNow)
+{
+  const Candidate& candidate = aCandidates[aIndex];
+  return WaitOf(
+    candidate, StatsOf(aState, candidate.m_node), AverageWaitMs(aCandidates, aState, aNow), aNow);
+}
+
 std::optional<std::size_t>
 Pick(const std::vector<Candidate>& aCandidates,
      const PickState& aState,
