Run requests that would only just meet their objective after those that meet it surely

Cause: the queue at a target runs the earliest objective first. Under overload every request then starts when it can only just meet its objective, and half of the runs take longer than usual. Change: a request counts as in time only if a run of 1.4 times the usual length and the answer's way fit its objective.

--- a/modules/routing/src/AdmissionQueue.cpp
+++ b/modules/routing/src/AdmissionQueue.cpp
@@ -11,6 +11,10 @@
 // Weight of the latest sample in the moving average of the run time.
 constexpr double kServiceWeight = 0.1;
 constexpr double kMicrosecondsPerMillisecond = 1000;
+// A run that takes this much of the usual time still counts as one to expect.
+constexpr double kLongRunShare = 1.4;
+// Allowance for the answer's way to the caller.
+constexpr Milliseconds kAnswerMs = 20;
 
 double
 ServiceMs(const AdmissionQueue& aQueue, const AdmissionRequest& aRequest)
@@ -19,10 +23,14 @@
   return us / kMicrosecondsPerMillisecond;
 }
 
+// True if the request probably meets its objective when it starts at aNow. Those that would only
+// just meet it don't count: run first, as the earliest objective, they would keep all others
+// waiting until those only just meet theirs, and every run that takes longer than usual is late.
 bool
 MeetsObjective(const AdmissionQueue& aQueue, const AdmissionRequest& aRequest, Instant aNow)
 {
-  return aNow + static_cast<Milliseconds>(ServiceMs(aQueue, aRequest)) <= aRequest.m_objective;
+  const double longRunMs = kLongRunShare * ServiceMs(aQueue, aRequest);
+  return aNow + static_cast<Milliseconds>(longRunMs) + kAnswerMs <= aRequest.m_objective;
 }
 
 // True if the request probably ends before its deadline when it starts at aStart.
