Bound the memory that large request bodies of callers take

Cause: each request could have a body of up to the operator's limit (64 MB there) on each of 4,096 connections, on hosts with 160 MB. Change: bodies over 16 KB, from their announcement to their answer, share an eighth of limits.memory_mb, which the platform's settings give; beyond it a request is answered 503 as not run, with Retry-After, before its body is read. Smaller ones pass. The client's and the server's counts of bytes are one ByteBudget. HttpTest plays a stalled sender, two large bodies and a small one.

--- a/modules/net/include/HttpServer.h
+++ b/modules/net/include/HttpServer.h
@@ -18,6 +18,9 @@
 {
   std::uint32_t m_maxHeaderBytes = 16U << 10;
   std::uint64_t m_maxBodyBytes = 8U << 20;
+  /// Most bytes of large bodies of all requests that are being received or handled. A request that
+  /// would exceed it is answered 503 and not handled.
+  std::uint64_t m_maxBufferedBytes = 64U << 20;
   /// Longest wait for the first byte of a request while no request is in progress.
   std::int64_t m_idleTimeoutMs = 60'000;
   /// Longest time to receive the header of a request, from its first byte.
--- a/modules/net/src/HttpClient.cpp
+++ b/modules/net/src/HttpClient.cpp
@@ -1,5 +1,6 @@
 #include "HttpClient.h"
 
+#include "ByteBudget.h"
 #include "Clock.h"
 #include "SocketOptions.h"
 
@@ -52,6 +53,7 @@
   HttpClientState(asio::io_context& aContext, HttpClientOptions aOptions)
     : m_context(aContext)
     , m_options(std::move(aOptions))
+    , m_receiving{ .m_max = m_options.m_maxReceivingBytes }
   {
   }
 
@@ -59,7 +61,7 @@
   HttpClientOptions m_options;
   std::vector<PooledPtr> m_idle;
   /// Bytes of the bodies that are being received.
-  std::uint64_t m_receivingBytes = 0;
+  ByteBudget m_receiving;
 };
 
 namespace {
@@ -159,44 +161,18 @@
          aResponse.result() != http::status::switching_protocols;
 }
 
-// Counts the body of one response in m_receivingBytes while it is received.
-class ReceivingBytes
-{
-public:
-  explicit ReceivingBytes(HttpClientState& aState)
-    : m_state(aState)
-  {
-  }
-  ~ReceivingBytes() { m_state.m_receivingBytes -= m_bytes; }
-  ReceivingBytes(const ReceivingBytes&) = delete;
-  ReceivingBytes& operator=(const ReceivingBytes&) = delete;
-
-  /// Sets the size of the body so far.
-  /// @return false if all bodies together are too large.
-  bool Set(std::uint64_t aBytes)
-  {
-    m_state.m_receivingBytes += aBytes - m_bytes;
-    m_bytes = aBytes;
-    return m_state.m_receivingBytes <= m_state.m_options.m_maxReceivingBytes;
-  }
-
-private:
-  HttpClientState& m_state;
-  std::uint64_t m_bytes = 0;
-};
-
 // Reads one whole response; bounded in memory, whatever the server sends.
 Awaitable<error_code>
 ReadResponse(HttpClientState& aState, PooledPtr aConnection, ResponseParser& aParser)
 {
-  ReceivingBytes receiving(aState);
+  BudgetShare share(aState.m_receiving);
   while (!aParser.is_done()) {
     const auto [error, size] = co_await http::async_read_some(
       aConnection->m_socket, aConnection->m_buffer, aParser, kAsTuple);
     if (error) {
       co_return error;
     }
-    if (!receiving.Set(aParser.get().body().size())) {
+    if (!share.Set(aParser.get().body().size())) {
       co_return http::error::body_limit;
     }
   }
--- a/modules/net/src/HttpServer.cpp
+++ b/modules/net/src/HttpServer.cpp
@@ -2,6 +2,7 @@
 
 #include "Acceptor.h"
 #include "Address.h"
+#include "ByteBudget.h"
 #include "Clock.h"
 #include "Log.h"
 
@@ -28,13 +29,22 @@
 constexpr Milliseconds kLingerMs = 1000;
 constexpr std::size_t kMaxPipelined = 32;
 constexpr std::size_t kReadBufferBytes = 4096;
+// Bodies up to this size don't count as large, so that they pass when large ones don't.
+constexpr std::size_t kSmallBodyBytes = 16U << 10;
 constexpr std::string_view kContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
 // A request in progress and its response.
 struct Exchange
 {
+  explicit Exchange(ByteBudget& aBudget)
+    : m_buffered(aBudget)
+  {
+  }
+
   std::optional<HttpResponse> m_response;
   bool m_keepAlive = true;
+  /// Bytes of the request's body, if it is large.
+  BudgetShare m_buffered;
   asio::cancellation_signal m_cancel;
 };
 
@@ -106,6 +116,7 @@
     : m_context(aContext)
     , m_acceptor(aContext)
     , m_limits(aLimits)
+    , m_buffered{ .m_max = aLimits.m_maxBufferedBytes }
     , m_handler(std::move(aHandler))
     , m_errorHandler(std::move(aErrorHandler))
   {
@@ -114,6 +125,7 @@
   asio::io_context& m_context;
   tcp::acceptor m_acceptor;
   HttpLimits m_limits;
+  ByteBudget m_buffered;
   HttpHandler m_handler;
   HttpErrorHandler m_errorHandler;
   HttpOverlapFilter m_mayOverlap;
@@ -136,6 +148,9 @@
   if (aError == http::error::header_limit || aError == http::error::buffer_overflow) {
     return http::status::request_header_fields_too_large;
   }
+  if (aError == asio::error::no_memory) {
+    return http::status::service_unavailable;
+  }
   return http::status::bad_request;
 }
 
@@ -143,8 +158,9 @@
 bool
 IsBadRequest(const error_code& aError)
 {
-  return aError.category() == http::make_error_code(http::error::bad_method).category() &&
-         aError != http::error::end_of_stream && aError != http::error::partial_message;
+  return aError == asio::error::no_memory ||
+         (aError.category() == http::make_error_code(http::error::bad_method).category() &&
+          aError != http::error::end_of_stream && aError != http::error::partial_message);
 }
 
 void
@@ -197,17 +213,42 @@
   }
 }
 
-// Returns nothing if the connection ended or the request is invalid; IsBadRequest(aError) tells
-// which.
+using RequestParser = http::request_parser<http::string_body>;
+
+// Reads the body while the budget for large ones allows it.
+Awaitable<error_code>
+ReadBody(Connection& aConnection, RequestParser& aParser, BudgetShare& aBuffered)
+{
+  aParser.eager(true); // Parses all that a read brought, however small its chunks are.
+  while (!aParser.is_done()) {
+    const std::uint64_t held = aParser.get().body().size();
+    const std::uint64_t coming = aParser.content_length_remaining().value_or(0);
+    if (held + coming > kSmallBodyBytes && !aBuffered.Set(held + coming)) {
+      co_return asio::error::no_memory;
+    }
+    const auto [error, size] =
+      co_await http::async_read_some(aConnection.m_socket, aConnection.m_buffer, aParser, kAsTuple);
+    if (error) {
+      co_return error;
+    }
+  }
+  co_return error_code();
+}
+
+// Returns nothing if the connection ended or the request is invalid or too much;
+// IsBadRequest(aError) tells which.
 Awaitable<std::optional<HttpRequest>>
-ReadRequest(const StatePtr& aState, Connection& aConnection, error_code& aError)
+ReadRequest(const StatePtr& aState,
+            Connection& aConnection,
+            BudgetShare& aBuffered,
+            error_code& aError)
 {
   const bool received = co_await AwaitFirstByte(aState, aConnection);
   if (!received) {
     co_return std::nullopt;
   }
   aConnection.m_betweenRequests = false;
-  http::request_parser<http::string_body> parser;
+  RequestParser parser;
   parser.header_limit(aState->m_limits.m_maxHeaderBytes);
   parser.body_limit(aState->m_limits.m_maxBodyBytes);
   aConnection.m_readDeadline = Clock::Now() + aState->m_limits.m_headerTimeoutMs;
@@ -216,9 +257,7 @@
   if (!error && !parser.is_done()) {
     aConnection.m_readDeadline = Clock::Now() + aState->m_limits.m_transferTimeoutMs;
     co_await SendContinue(aConnection, parser.get());
-    const auto [bodyError, bodySize] =
-      co_await http::async_read(aConnection.m_socket, aConnection.m_buffer, parser, kAsTuple);
-    error = bodyError;
+    error = co_await ReadBody(aConnection, parser, aBuffered);
   }
   aConnection.m_readDeadline.reset();
   aError = error;
@@ -265,7 +304,9 @@
   Connection& connection = *aConnection;
   while (!connection.m_closing && !connection.m_disconnected) {
     error_code error;
-    std::optional<HttpRequest> request = co_await ReadRequest(aState, connection, error);
+    auto exchange = std::make_shared<Exchange>(aState->m_buffered);
+    std::optional<HttpRequest> request =
+      co_await ReadRequest(aState, connection, exchange->m_buffered, error);
     while (request && !connection.m_disconnected && !MayStart(*aState, connection, *request)) {
       co_await connection.m_exchangeDone.Wait();
     }
@@ -279,7 +320,6 @@
       CancelAll(connection);
       break;
     }
-    auto exchange = std::make_shared<Exchange>();
     connection.m_exchanges.push_back(exchange);
     if (!request) {
       exchange->m_keepAlive = false;
@@ -455,6 +495,7 @@
 HttpServer::SetLimits(const HttpLimits& aLimits)
 {
   m_state->m_limits = aLimits;
+  m_state->m_buffered.m_max = aLimits.m_maxBufferedBytes;
 }
 
 void
--- a/modules/net/tests/HttpTest.cpp
+++ b/modules/net/tests/HttpTest.cpp
@@ -25,11 +25,11 @@
 // A server whose requests wait until the test answers them by path.
 struct HeldServer
 {
-  explicit HeldServer(asio::io_context& aContext)
+  explicit HeldServer(asio::io_context& aContext, HttpLimits aLimits = {})
     : m_context(aContext)
     , m_server(
         aContext,
-        {},
+        aLimits,
         [this](HttpRequest aRequest) { return Hold(std::move(aRequest)); },
         ErrorResponse)
   {
@@ -442,7 +442,8 @@
   for (int i = 0; i < 4; ++i) {
     queued.emplace_back(context).async_connect(acceptor.local_endpoint(), [](error_code) {});
   }
-  RunUntil(context, [] { return false; }, 50);
+  RunUntil(
+    context, [] { return false; }, 50);
   HttpClient client(context, { .m_endpoint = acceptor.local_endpoint() });
   asio::cancellation_signal cancel;
   std::optional<HttpResult> result;
@@ -453,9 +454,53 @@
                      CHECK_FALSE(aFailure);
                      result = std::move(aResult);
                    }));
-  RunUntil(context, [&] { return result.has_value(); }, 50);
+  RunUntil(
+    context, [&] { return result.has_value(); }, 50);
   REQUIRE_FALSE(result);
   cancel.emit(asio::cancellation_type::terminal);
   REQUIRE(RunUntil(context, [&] { return result.has_value(); }));
   CHECK(result->m_failure == HttpFailure::Cancelled);
 }
+
+TEST_CASE("large bodies beyond the budget are refused at once, and small ones still pass")
+{
+  asio::io_context context;
+  HeldServer held(context, { .m_maxBufferedBytes = 100'000 });
+  HttpClient client(context, { .m_endpoint = held.m_endpoint });
+  std::map<std::string, http::status> answers;
+  const auto post = [&](const std::string& aPath, std::size_t aBytes) {
+    HttpRequest request(http::verb::post, aPath, 11);
+    request.body().assign(aBytes, 'b');
+    request.prepare_payload();
+    asio::co_spawn(context,
+                   client.Send(std::move(request), 5000),
+                   [&answers, aPath](const std::exception_ptr&, HttpResult aResult) {
+                     answers[aPath] =
+                       aResult.m_response ? aResult.m_response->result() : http::status::unknown;
+                   });
+  };
+  const auto started = [&](std::size_t aCount) {
+    return RunUntil(context, [&] { return held.m_started.size() == aCount; });
+  };
+  // A client that stalls in the middle of its body holds what it announced.
+  tcp::socket stalled(context);
+  stalled.connect(held.m_endpoint);
+  asio::write(stalled,
+              asio::buffer(std::string("POST /s HTTP/1.1\r\nHost: x\r\n"
+                                       "Content-Length: 40000\r\n\r\nbbb")));
+  post("/large", 60'000);
+  REQUIRE(started(1));
+  post("/second", 60'000);
+  REQUIRE(RunUntil(context, [&] { return answers.contains("/second"); }));
+  CHECK(answers["/second"] == http::status::service_unavailable);
+  post("/small", 10'000);
+  REQUIRE(started(2));
+  held.Answer("/small");
+  held.Answer("/large");
+  REQUIRE(RunUntil(context, [&] { return answers.size() == 3; }));
+  CHECK(answers["/large"] == http::status::ok);
+  CHECK(answers["/small"] == http::status::ok);
+  post("/third", 60'000);
+  REQUIRE(started(3));
+  CHECK(held.m_started.back() == "/third");
+}
--- a/modules/node/include/Settings.h
+++ b/modules/node/include/Settings.h
@@ -17,6 +17,8 @@
 {
   std::uint64_t m_maxBodyBytes = 8U << 20;
   std::uint64_t m_maxHeaderBytes = 16U << 10;
+  /// Memory that the node may use, in MB. A part of it is for large request bodies.
+  std::uint64_t m_memoryMb = 512;
   std::uint64_t m_maxConnections = 4096;
   /// Maximum number of calls in progress that callers sent to this node.
   std::uint64_t m_maxCalls = 4096;
@@ -31,6 +33,14 @@
   std::uint64_t m_ownKeyRetentionMs = 3'600'000;
 };
 
+/// @return the most bytes of large request bodies that the node holds at a time. A body is held up
+/// to four times over: as received, as a call, as an attempt and as it is sent.
+constexpr std::uint64_t
+MaxBufferedBytes(const Limits& aLimits)
+{
+  return (aLimits.m_memoryMb << 20U) / 8;
+}
+
 /// Intervals and timeouts, in milliseconds.
 struct Timings
 {
--- a/modules/node/src/CallProxy.cpp
+++ b/modules/node/src/CallProxy.cpp
@@ -82,6 +82,7 @@
       aContext,
       { .m_maxHeaderBytes = static_cast<std::uint32_t>(aSettings.m_limits.m_maxHeaderBytes),
         .m_maxBodyBytes = aSettings.m_limits.m_maxBodyBytes,
+        .m_maxBufferedBytes = MaxBufferedBytes(aSettings.m_limits),
         .m_maxConnections = aSettings.m_limits.m_maxConnections },
       [this](HttpRequest aRequest) { return HandleCallerRequest(std::move(aRequest)); },
       MakeBadRequest)
@@ -231,6 +232,7 @@
   m_callerServer.SetLimits(
     { .m_maxHeaderBytes = static_cast<std::uint32_t>(limits.m_maxHeaderBytes),
       .m_maxBodyBytes = limits.m_maxBodyBytes,
+      .m_maxBufferedBytes = MaxBufferedBytes(m_settings.m_limits),
       .m_idleTimeoutMs = static_cast<std::int64_t>(limits.m_idleTimeoutMs),
       .m_headerTimeoutMs = static_cast<std::int64_t>(limits.m_headerTimeoutMs),
       .m_maxConnections = m_settings.m_limits.m_maxConnections });
--- a/modules/node/src/Problem.cpp
+++ b/modules/node/src/Problem.cpp
@@ -61,6 +61,14 @@
 net::HttpResponse
 MakeBadRequest(net::http::status aStatus, const std::string& aReason)
 {
+  if (aStatus == net::http::status::service_unavailable) {
+    net::HttpResponse response = MakeProblem(
+      aStatus,
+      CallOutcome::NotRun,
+      "this node holds as many large request bodies as it may; try another node or later");
+    response.set(net::http::field::retry_after, "0.5");
+    return response;
+  }
   return MakeProblem(aStatus,
                      CallOutcome::NotRun,
                      fmt::format("the request can't be read ({}); correct it", aReason));
