Keep a target's leaving that a node without its start time was told

A target's leave, without its start time, reached a node that had just restarted and knew no target; it was acknowledged but not kept, and a heartbeat that came 2.3 s late put the target into use again. Ruled out: the new code, as the record of targets is older. Change: without a start time, reports under the id that left count as late ones for 10 s, but for the first of an incarnation.

--- a/modules/net/src/HttpServer.cpp
+++ b/modules/net/src/HttpServer.cpp
@@ -148,7 +148,7 @@
   if (aError == http::error::header_limit || aError == http::error::buffer_overflow) {
     return http::status::request_header_fields_too_large;
   }
-  if (aError == asio::error::no_memory) {
+  if (aError == asio::error::no_memory) { // From ReadBody.
     return http::status::service_unavailable;
   }
   return http::status::bad_request;
--- a/modules/node/src/TargetApi.cpp
+++ b/modules/node/src/TargetApi.cpp
@@ -160,7 +160,8 @@
 net::HttpResponse
 TargetApi::HandleDeregister(const std::string& aId, const std::string& aBody)
 {
-  const bool known = routing::RecordLeave(m_record, aId, adapter::DecodeBornMs(aBody));
+  const bool known =
+    routing::RecordLeave(m_record, aId, adapter::DecodeBornMs(aBody), Clock::Now());
   LogLine(LogLevel::Info, "target_leaves").Add("target", aId).Add("known", known ? "yes" : "no");
   if (known) {
     m_onChange(m_record.m_newest);
--- a/modules/node/src/TargetRunner.cpp
+++ b/modules/node/src/TargetRunner.cpp
@@ -309,7 +309,7 @@
   }
   const Instant now = Clock::Now();
   routing::AdmissionRequest request = MakeAdmissionRequest(aCall, aCaller);
-  // The body is received while the request would wait for a slot.
+  // The request asks for a slot when its body is complete.
   request.m_deadline = request.m_deadline + -aBodyMs;
   routing::AdmissionResult predicted = routing::Predict(m_admissionQueue, request, now);
   const bool waitsForBody = aBodyMs > request.m_maxWaitMs;
--- a/modules/routing/include/TargetRecord.h
+++ b/modules/routing/include/TargetRecord.h
@@ -39,7 +39,10 @@
   Instant m_heardAt;
   /// Incarnation that left; its late reports are ignored.
   std::string m_leftId;
-  std::int64_t m_leftBornMs = 0;
+  /// Its start time; none if it left without stating it.
+  std::optional<std::int64_t> m_leftBornMs;
+  /// When it left.
+  Instant m_leftAt;
 };
 
 /// Result of applying a report.
@@ -58,13 +61,20 @@
 /// After this long without a report, another id is accepted even if its start time is earlier.
 constexpr Milliseconds kSilentTargetMs = 4000;
 
+/// Reports may be this late.
+constexpr Milliseconds kLateReportMs = 10'000;
+
 /// Applies a report if it is not outdated.
 ReportOutcome
 ApplyReport(TargetRecord& aRecord, const TargetReport& aReport, Instant aNow);
 
 /// Records that the incarnation aId announced that it leaves.
+/// @param aBornMs its start time if it stated it.
 /// @return true if it is the one of the latest accepted report.
 bool
-RecordLeave(TargetRecord& aRecord, const std::string& aId, std::optional<std::int64_t> aBornMs);
+RecordLeave(TargetRecord& aRecord,
+            const std::string& aId,
+            std::optional<std::int64_t> aBornMs,
+            Instant aNow);
 
 } // namespace sequoiastep::routing
--- a/modules/routing/src/TargetRecord.cpp
+++ b/modules/routing/src/TargetRecord.cpp
@@ -18,11 +18,18 @@
          (aLeft.m_warmUpMs == 0) == (aRight.m_warmUpMs == 0);
 }
 
+// Without the start time of the incarnation that left, reports under its id are its late ones for a
+// while, but for the first report of an incarnation.
 bool
-HasLeft(const TargetRecord& aRecord, const TargetReport& aReport)
+HasLeft(const TargetRecord& aRecord, const TargetReport& aReport, Instant aNow)
 {
-  return !aRecord.m_leftId.empty() && aReport.m_id == aRecord.m_leftId &&
-         aReport.m_bornMs <= aRecord.m_leftBornMs;
+  if (aRecord.m_leftId.empty() || aReport.m_id != aRecord.m_leftId) {
+    return false;
+  }
+  if (aRecord.m_leftBornMs) {
+    return aReport.m_bornMs <= *aRecord.m_leftBornMs;
+  }
+  return aReport.m_sequence > 1 && aNow - aRecord.m_leftAt < kLateReportMs;
 }
 
 // Start times come from clocks that may jump, so a silent target is replaced by another id in any
@@ -43,7 +50,7 @@
 ReportOutcome
 ApplyReport(TargetRecord& aRecord, const TargetReport& aReport, Instant aNow)
 {
-  if (HasLeft(aRecord, aReport)) {
+  if (HasLeft(aRecord, aReport, aNow)) {
     return ReportOutcome::Outdated;
   }
   if (aRecord.m_newest && IsSameIncarnation(*aRecord.m_newest, aReport)) {
@@ -58,23 +65,30 @@
   if (aRecord.m_newest && !Replaces(aRecord, aReport, aNow)) {
     return ReportOutcome::Outdated;
   }
+  if (!aRecord.m_leftBornMs) {
+    aRecord.m_leftId.clear();
+  }
   aRecord.m_newest = aReport;
   aRecord.m_heardAt = aNow;
   return ReportOutcome::NewTarget;
 }
 
 bool
-RecordLeave(TargetRecord& aRecord, const std::string& aId, std::optional<std::int64_t> aBornMs)
+RecordLeave(TargetRecord& aRecord,
+            const std::string& aId,
+            std::optional<std::int64_t> aBornMs,
+            Instant aNow)
 {
   const bool known = aRecord.m_newest && aRecord.m_newest->m_id == aId &&
                      aBornMs.value_or(aRecord.m_newest->m_bornMs) >= aRecord.m_newest->m_bornMs;
   if (known) {
     aRecord.m_newest->m_leaving = true;
+    aBornMs = aRecord.m_newest->m_bornMs;
+  }
+  if (known || !aRecord.m_newest) {
     aRecord.m_leftId = aId;
-    aRecord.m_leftBornMs = aRecord.m_newest->m_bornMs;
-  } else if (!aRecord.m_newest && aBornMs) {
-    aRecord.m_leftId = aId;
-    aRecord.m_leftBornMs = *aBornMs;
+    aRecord.m_leftBornMs = aBornMs;
+    aRecord.m_leftAt = aNow;
   }
   return known;
 }
--- a/modules/routing/tests/TargetRecordTest.cpp
+++ b/modules/routing/tests/TargetRecordTest.cpp
@@ -57,12 +57,37 @@
 {
   TargetRecord record;
   ApplyReport(record, Report("a", 100, 1), kNow);
-  CHECK_FALSE(RecordLeave(record, "b", std::nullopt));
+  CHECK_FALSE(RecordLeave(record, "b", std::nullopt, kNow));
   CHECK_FALSE(record.m_newest->m_leaving);
-  CHECK(RecordLeave(record, "a", std::nullopt));
+  CHECK(RecordLeave(record, "a", std::nullopt, kNow));
   CHECK(record.m_newest->m_leaving);
   CHECK(ApplyReport(record, Report("a", 100, 2), kNow) == ReportOutcome::Outdated);
   CHECK(record.m_newest->m_leaving);
   CHECK(ApplyReport(record, Report("a", 101, 1), kNow) == ReportOutcome::NewTarget);
   CHECK_FALSE(record.m_newest->m_leaving);
 }
+
+TEST_CASE("a late report does not bring back a target that left while its node restarted")
+{
+  TargetRecord record;
+  // The node has just started and knows no start time; the target's leave states none.
+  CHECK_FALSE(RecordLeave(record, "a", std::nullopt, kNow));
+  CHECK(ApplyReport(record, Report("a", 100, 13), kNow + 2300) == ReportOutcome::Outdated);
+  CHECK_FALSE(record.m_newest);
+  // Another target, and a new incarnation under the same id, are accepted at once.
+  TargetRecord replaced = record;
+  CHECK(ApplyReport(replaced, Report("b", 50, 4), kNow + 3000) == ReportOutcome::NewTarget);
+  TargetRecord restarted = record;
+  CHECK(ApplyReport(restarted, Report("a", 200, 1), kNow + 3000) == ReportOutcome::NewTarget);
+  CHECK(ApplyReport(restarted, Report("a", 200, 2), kNow + 4000) == ReportOutcome::Same);
+  // One that still reports long after it left is not a late report.
+  CHECK(ApplyReport(record, Report("a", 100, 20), kNow + 10'000) == ReportOutcome::NewTarget);
+}
+
+TEST_CASE("a leave that states its start time is kept by a node that knows no target")
+{
+  TargetRecord record;
+  CHECK_FALSE(RecordLeave(record, "a", 100, kNow));
+  CHECK(ApplyReport(record, Report("a", 100, 13), kNow + 60'000) == ReportOutcome::Outdated);
+  CHECK(ApplyReport(record, Report("a", 101, 1), kNow) == ReportOutcome::NewTarget);
+}
