Take out work and copies that the second reading of the change found

- Pick gives the expected wait that it computes anyway; Place computed the service's average wait a second time for every attempt.
- The size from which a body is large stands once (net::kMaxSmallBodyBytes), for the memory bound and for grants.
- Refusals at the target's node are made and logged by RefuseUnfit and RefuseFull, for early and later ones; an early refusal at a limit that the target named was logged as "the target is full".
Behaviour else unchanged.
The tests of Pick read the index from its result; their assertions are the same.

--- a/modules/net/include/HttpServer.h
+++ b/modules/net/include/HttpServer.h
@@ -13,6 +13,10 @@
 
 namespace sequoiastep::net {
 
+/// A request body of more bytes counts as large: it takes part in the bounds on memory and on what
+/// crosses links, so that requests with small ones pass when those with large ones don't.
+constexpr std::size_t kMaxSmallBodyBytes = 16U << 10;
+
 /// Limits on the size of requests, on timeouts in milliseconds and on the number of connections.
 struct HttpLimits
 {
--- a/modules/net/src/HttpServer.cpp
+++ b/modules/net/src/HttpServer.cpp
@@ -29,8 +29,6 @@
 constexpr Milliseconds kLingerMs = 1000;
 constexpr std::size_t kMaxPipelined = 32;
 constexpr std::size_t kReadBufferBytes = 4096;
-// Bodies up to this size don't count as large, so that they pass when large ones don't.
-constexpr std::size_t kSmallBodyBytes = 16U << 10;
 constexpr std::string_view kContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
 // A request in progress and its response.
@@ -223,7 +221,7 @@
   while (!aParser.is_done()) {
     const std::uint64_t held = aParser.get().body().size();
     const std::uint64_t coming = aParser.content_length_remaining().value_or(0);
-    if (held + coming > kSmallBodyBytes && !aBuffered.Set(held + coming)) {
+    if (held + coming > kMaxSmallBodyBytes && !aBuffered.Set(held + coming)) {
       co_return asio::error::no_memory;
     }
     const auto [error, size] =
--- a/modules/node/src/CallLinks.cpp
+++ b/modules/node/src/CallLinks.cpp
@@ -1,5 +1,6 @@
 #include "CallLinks.h"
 
+#include "HttpServer.h"
 #include "LinkLiveness.h"
 #include "Log.h"
 
@@ -201,7 +202,7 @@
   aCall.sent_ms = Clock::Now().m_ms;
   const std::uint64_t id = aCall.id;
   PendingCall pending(m_context, aTimeoutMs, aCall.repeatable);
-  if (aCall.body.size() > kMaxInlineBodyBytes) {
+  if (aCall.body.size() > net::kMaxSmallBodyBytes) {
     pending.m_body = std::move(aCall.body);
     aCall.body.clear();
     aCall.body_size = static_cast<std::uint32_t>(pending.m_body.size());
--- a/modules/node/src/CallLinks.h
+++ b/modules/node/src/CallLinks.h
@@ -16,10 +16,6 @@
 
 namespace sequoiastep::node {
 
-/// Largest body that a call itself carries. A larger one is sent after it, in chunks, as the peer
-/// grants it.
-constexpr std::size_t kMaxInlineBodyBytes = 16U << 10;
-
 /// Result of a call to another node.
 struct CallReply
 {
--- a/modules/node/src/CallProxyRoute.cpp
+++ b/modules/node/src/CallProxyRoute.cpp
@@ -376,7 +376,7 @@
            .m_failureDomain = m_identity.m_failureDomain,
            .m_crossRegion = aJob.m_crossRegion,
            .m_kilobytes = aJob.m_estimatedKilobytes,
-           .m_largeBody = aJob.m_call.body.size() > kMaxInlineBodyBytes,
+           .m_largeBody = aJob.m_call.body.size() > net::kMaxSmallBodyBytes,
            .m_routeAverageUs = routing::AverageOf(m_runUs, aJob.m_call.route).value_or(0),
            .m_objectiveMs = aJob.m_objective - Clock::Now() };
 }
--- a/modules/node/src/TargetRunner.cpp
+++ b/modules/node/src/TargetRunner.cpp
@@ -288,24 +288,38 @@
   return answer;
 }
 
+// Refuses and logs a call that can't run here, whatever the load. Returns nothing if it can.
+std::optional<AnswerT>
+TargetRunner::RefuseUnfit(const CallT& aCall, std::string_view aCaller) const
+{
+  const std::string reason = RefusalReason(aCall);
+  if (reason.empty()) {
+    return std::nullopt;
+  }
+  LogRefused(aCall, aCaller, reason, 0);
+  return MakeRefusal(reason, false);
+}
+
+// Refuses and logs a call for which the target has no room in time.
 AnswerT
-TargetRunner::MakeFullRefusal(const routing::AdmissionResult& aAdmission) const
+TargetRunner::RefuseFull(const CallT& aCall,
+                         std::string_view aCaller,
+                         const routing::AdmissionResult& aAdmission) const
 {
   AnswerT full = MakeRefusal(aAdmission.m_rateLimited ? "the target is at the limit that it named"
                                                       : "the target is full",
                              true);
   full.retry_after_ms = static_cast<std::uint32_t>(
     std::clamp<Milliseconds>(aAdmission.m_waitMs, kMinRetryAfterMs, kMaxRetryAfterMs));
+  LogRefused(aCall, aCaller, full.reason, aAdmission.m_waitMs);
   return full;
 }
 
 std::optional<AnswerT>
 TargetRunner::RefuseEarly(const CallT& aCall, const std::string& aCaller, Milliseconds aBodyMs)
 {
-  const std::string reason = RefusalReason(aCall);
-  if (!reason.empty()) {
-    LogRefused(aCall, aCaller, reason, 0);
-    return MakeRefusal(reason, false);
+  if (std::optional<AnswerT> refusal = RefuseUnfit(aCall, aCaller)) {
+    return refusal;
   }
   const Instant now = Clock::Now();
   routing::AdmissionRequest request = MakeAdmissionRequest(aCall, aCaller);
@@ -317,8 +331,7 @@
     return std::nullopt;
   }
   predicted.m_waitMs = std::max(predicted.m_waitMs, aBodyMs);
-  LogRefused(aCall, aCaller, "the target is full", predicted.m_waitMs);
-  return MakeFullRefusal(predicted);
+  return RefuseFull(aCall, aCaller, predicted);
 }
 
 void
@@ -510,10 +523,8 @@
 Awaitable<AnswerT>
 TargetRunner::RunAdmitted(const CallT& aCall, std::string aCaller, std::shared_ptr<TargetRun> aRun)
 {
-  const std::string refusalReason = RefusalReason(aCall);
-  if (!refusalReason.empty()) {
-    LogRefused(aCall, aCaller, refusalReason, 0);
-    co_return MakeRefusal(refusalReason, false);
+  if (std::optional<AnswerT> refusal = RefuseUnfit(aCall, aCaller)) {
+    co_return std::move(*refusal);
   }
   ApplyServiceLimits(aCall.service);
   const std::int64_t arrivedUs = Clock::NowMicroseconds();
@@ -525,9 +536,7 @@
   m_metrics.RecordQueueWait(admitted ? QueueResult::Run : QueueResult::Refused, waitedUs);
   if (!admitted) {
     m_shared.m_calls.m_shed.fetch_add(1, std::memory_order_relaxed);
-    AnswerT full = MakeFullRefusal(admission);
-    LogRefused(aCall, aCaller, full.reason, admission.m_waitMs);
-    co_return full;
+    co_return RefuseFull(aCall, aCaller, admission);
   }
   struct SlotRelease
   {
--- a/modules/node/src/TargetRunner.h
+++ b/modules/node/src/TargetRunner.h
@@ -110,7 +110,11 @@
                     const net::HttpResponse& aResponse);
   void ApplyServiceLimits(const std::string& aService);
   wire::AnswerT MakeRefusal(std::string_view aReason, bool aOverloaded) const;
-  wire::AnswerT MakeFullRefusal(const routing::AdmissionResult& aAdmission) const;
+  std::optional<wire::AnswerT> RefuseUnfit(const wire::CallT& aCall,
+                                           std::string_view aCaller) const;
+  wire::AnswerT RefuseFull(const wire::CallT& aCall,
+                           std::string_view aCaller,
+                           const routing::AdmissionResult& aAdmission) const;
 
   net::asio::io_context& m_context;
   SharedState& m_shared;
--- a/modules/routing/include/Picker.h
+++ b/modules/routing/include/Picker.h
@@ -134,8 +134,17 @@
 Locality
 LocalityOf(const Candidate& aCandidate, std::string_view aRegion, std::string_view aFailureDomain);
 
-/// @return the index of the candidate to call, or nothing if there is none.
-std::optional<std::size_t>
+/// The candidate to call.
+struct PickedTarget
+{
+  std::size_t m_index = 0;
+  /// Expected wait for a slot there, in milliseconds. At a target that has not reported its load
+  /// lately it is longer the more others are busy.
+  double m_waitMs = 0;
+};
+
+/// @return the candidate to call, or nothing if there is none.
+std::optional<PickedTarget>
 Pick(const std::vector<Candidate>& aCandidates,
      const PickState& aState,
      const PickRequest& aRequest,
@@ -146,14 +155,6 @@
 double
 PredictedWaitMs(const Candidate& aCandidate, const TargetStats& aStats, Instant aNow);
 
-/// @return the expected wait for a slot at a candidate, in milliseconds. At a target that has not
-/// reported its load lately it is longer the more others are busy.
-double
-ExpectedWaitMs(const std::vector<Candidate>& aCandidates,
-               std::size_t aIndex,
-               const PickState& aState,
-               Instant aNow);
-
 /// @return the share, above 0 and up to 1, of its slots that a target may use while it warms up.
 double
 WarmUpShare(const Candidate& aCandidate, Instant aNow);
--- a/modules/routing/src/Picker.cpp
+++ b/modules/routing/src/Picker.cpp
@@ -60,6 +60,8 @@
   double m_costMs = 0;
   /// Part of the cost that is an estimate: round-trip time and wait. Noise scales with it.
   double m_estimatedMs = 0;
+  /// Part of the cost that is the wait for a slot.
+  double m_slotWaitMs = 0;
   bool m_trusted = true;
   /// Probability that it is picked for exploration.
   double m_exploreShare = 0;
@@ -175,13 +177,15 @@
                                          : kDefaultRttMs[static_cast<std::size_t>(locality)];
   const double bodyWaitMs =
     aRequest.m_largeBody ? static_cast<double>(stats.m_bodiesUntil - aNow) : 0;
-  const double waitMs = std::max(WaitOf(aCandidate, stats, aAverages.m_waitMs, aNow), bodyWaitMs);
+  const double slotWaitMs = WaitOf(aCandidate, stats, aAverages.m_waitMs, aNow);
+  const double waitMs = std::max(slotWaitMs, bodyWaitMs);
   return { .m_index = aIndex,
            .m_costMs =
              TransferCostMs(aRequest, locality) +
              LatencyCostMs(rttMs + ServiceMs(aCandidate, stats, aAverages.m_runUs, aNow) + waitMs,
                            aRequest.m_objectiveMs),
            .m_estimatedMs = rttMs + waitMs,
+           .m_slotWaitMs = slotWaitMs,
            .m_trusted = !aCandidate.m_suspect && !IsAvoided(aCandidate, stats, aNow),
            .m_exploreShare = IsUnexplored(aCandidate, stats, aNow)
                                ? kExploreShares[static_cast<std::size_t>(locality)]
@@ -238,7 +242,7 @@
   }
 }
 
-std::size_t
+const ScoredCandidate&
 Cheapest(const std::vector<ScoredCandidate>& aScored, Random& aRandom)
 {
   const ScoredCandidate* best = nullptr;
@@ -250,7 +254,7 @@
       bestCostMs = scored.m_costMs + noise;
     }
   }
-  return best->m_index;
+  return *best;
 }
 
 void
@@ -328,18 +332,7 @@
   return std::max(slotWaitMs, static_cast<double>(aStats.m_rateLimitedUntil - aNow));
 }
 
-double
-ExpectedWaitMs(const std::vector<Candidate>& aCandidates,
-               std::size_t aIndex,
-               const PickState& aState,
-               Instant aNow)
-{
-  const Candidate& candidate = aCandidates[aIndex];
-  return WaitOf(
-    candidate, StatsOf(aState, candidate.m_node), AverageWaitMs(aCandidates, aState, aNow), aNow);
-}
-
-std::optional<std::size_t>
+std::optional<PickedTarget>
 Pick(const std::vector<Candidate>& aCandidates,
      const PickState& aState,
      const PickRequest& aRequest,
@@ -354,10 +347,11 @@
   for (const ScoredCandidate& entry : scored) {
     if (entry.m_exploreShare > 0 && aRequest.m_kilobytes < kExploreMaxKilobytes &&
         aRandom.Unit() < entry.m_exploreShare) {
-      return entry.m_index;
+      return PickedTarget{ .m_index = entry.m_index, .m_waitMs = entry.m_slotWaitMs };
     }
   }
-  return Cheapest(scored, aRandom);
+  const ScoredCandidate& best = Cheapest(scored, aRandom);
+  return PickedTarget{ .m_index = best.m_index, .m_waitMs = best.m_slotWaitMs };
 }
 
 void
--- a/modules/routing/src/Placement.cpp
+++ b/modules/routing/src/Placement.cpp
@@ -34,12 +34,11 @@
     return std::nullopt;
   }
   // If a target that was full is still the best one, the call waits there as long as it can.
-  aPlacement.m_anyWait = aPlacement.m_fullNodes.contains(aCandidates[*picked].m_node) ||
+  aPlacement.m_anyWait = aPlacement.m_fullNodes.contains(aCandidates[picked->m_index].m_node) ||
                          aPlacement.m_fullNodes.size() >= kMaxLimitedWaits;
-  const double expectedMs = ExpectedWaitMs(aCandidates, *picked, aState, aNow);
-  return PlacedCall{ .m_index = *picked,
+  return PlacedCall{ .m_index = picked->m_index,
                      .m_maxWaitMs =
-                       aPlacement.m_anyWait ? kAnyWaitMs : MaxWaitMs(aRequest, expectedMs) };
+                       aPlacement.m_anyWait ? kAnyWaitMs : MaxWaitMs(aRequest, picked->m_waitMs) };
 }
 
 } // namespace sequoiastep::routing
--- a/modules/routing/tests/RateLimiterTest.cpp
+++ b/modules/routing/tests/RateLimiterTest.cpp
@@ -207,9 +207,13 @@
   };
   const PickRequest request{ .m_region = "east", .m_failureDomain = "east-a" };
   Random random{ 3 };
-  CHECK(Pick(candidates, {}, request, kNow, random) == 0);
+  const auto near = Pick(candidates, {}, request, kNow, random);
+  REQUIRE(near);
+  CHECK(near->m_index == 0);
   candidates[0].m_perSecond = 0.5;
-  CHECK(Pick(candidates, {}, request, kNow, random) == 1);
+  const auto far = Pick(candidates, {}, request, kNow, random);
+  REQUIRE(far);
+  CHECK(far->m_index == 1);
 }
 
 TEST_CASE("nodes are told of a limit when it begins, ends or changes by much, and not more often")
--- a/modules/routing/tests/RoutingTest.cpp
+++ b/modules/routing/tests/RoutingTest.cpp
@@ -47,7 +47,7 @@
            kNow,
            random);
     if (picked) {
-      ++counts[aCandidates[*picked].m_node];
+      ++counts[aCandidates[picked->m_index].m_node];
     }
   }
   return counts;
@@ -138,7 +138,7 @@
                              kNow,
                              random);
     REQUIRE(picked);
-    CHECK(tried.insert(candidates[*picked].m_node).second);
+    CHECK(tried.insert(candidates[picked->m_index].m_node).second);
   }
   CHECK_FALSE(Pick(candidates,
                    {},
@@ -359,7 +359,7 @@
                                .m_objectiveMs = 100 },
                              kNow,
                              random);
-    return candidates[*picked].m_failureDomain;
+    return candidates[picked->m_index].m_failureDomain;
   };
   CHECK(domainOf(1) == "east-b");
   CHECK(domainOf(90) == "east-a");
