--- a/review/2/case.cpp
+++ b/review/2/case.cpp
@@ -1,12 +1,14 @@
-// A node is stopped by SIGTERM while answers are on their way to its clients over the machine's link.
+// A node is stopped by SIGTERM while answers are on their way to its clients over the machine's
+// link.
 #include "standins.h"
 
 using namespace review;
 
 namespace {
 
-constexpr std::size_t kDrawingBytes = 540'000; // The largest answer of drawing-pull in the site files.
-constexpr int kWorkMs = 700;                   // Below the longest work of drawing-pull there (770).
+constexpr std::size_t kDrawingBytes =
+  540'000;                   // The largest answer of drawing-pull in the site files.
+constexpr int kWorkMs = 700; // Below the longest work of drawing-pull there (770).
 constexpr double kLinkBytesPerMs = 7e6 / 8 / 1000;
 // Links have "small windows".
 constexpr int kWindowBytes = 4 << 10;
@@ -43,7 +45,8 @@
 {
   Begin(aArguments[1]);
   Mesh mesh({ .m_linkMbps = "7.0" });
-  Machine& near = mesh.Add("sidecar-hobart-a-1", { .m_service = "jobboard", .m_zone = "hobart-a", .m_id = "i-jobs-1" });
+  Machine& near = mesh.Add("sidecar-hobart-a-1",
+                           { .m_service = "jobboard", .m_zone = "hobart-a", .m_id = "i-jobs-1" });
   Machine& far = mesh.Add("sidecar-hobart-b-1",
                           { .m_service = "drawings",
                             .m_zone = "hobart-b",
@@ -85,8 +88,10 @@
       aClient.m_received += aBytes;
       link.Pass(aBytes);
     });
-    aClient.m_answer = Exchange(
-      aClient.m_socket, *aClient.m_reader, RequestText("GET", "/pull/1", kHost, aClient.m_id, kDeadlineMs), 2 * kDeadlineMs);
+    aClient.m_answer = Exchange(aClient.m_socket,
+                                *aClient.m_reader,
+                                RequestText("GET", "/pull/1", kHost, aClient.m_id, kDeadlineMs),
+                                2 * kDeadlineMs);
     ::close(aClient.m_socket);
   };
   const auto downloadAll = [&] {
@@ -100,8 +105,12 @@
   };
   downloadAll();
   for (const Client& client : clients) {
-    Note("client: before: %s status %d, %zu bytes, %lld ms, %s", client.m_id.c_str(), client.m_answer.m_status,
-         client.m_received, static_cast<long long>(client.m_answer.m_endAt - client.m_answer.m_sentAt), client.m_answer.EndName());
+    Note("client: before: %s status %d, %zu bytes, %lld ms, %s",
+         client.m_id.c_str(),
+         client.m_answer.m_status,
+         client.m_received,
+         static_cast<long long>(client.m_answer.m_endAt - client.m_answer.m_sentAt),
+         client.m_answer.EndName());
     if (client.m_answer.m_status != 200) {
       return Finish(kCouldNotRun, "no service before the stop");
     }
@@ -118,8 +127,10 @@
   std::thread exitWatch([&] {
     if (WithTrouble()) {
       const auto status = near.m_node->Wait(9000);
-      Note("node %s ended %lld ms after its SIGTERM, wait status %d", near.m_name.c_str(),
-           static_cast<long long>(Record::Get().Now() - stoppedAt), status.value_or(-1));
+      Note("node %s ended %lld ms after its SIGTERM, wait status %d",
+           near.m_name.c_str(),
+           static_cast<long long>(Record::Get().Now() - stoppedAt),
+           status.value_or(-1));
     }
   });
   downloadAll();
@@ -128,20 +139,32 @@
   int lost = 0;
   const std::vector<Run> runs = far.m_upstream->Runs();
   for (const Client& client : clients) {
-    const auto run = std::find_if(runs.begin(), runs.end(), [&](const Run& aRun) { return aRun.m_id == client.m_id; });
+    const auto run = std::find_if(
+      runs.begin(), runs.end(), [&](const Run& aRun) { return aRun.m_id == client.m_id; });
     const bool ran = run != runs.end() && run->m_status == 200;
     const bool complete = client.m_answer.m_end == ReadEnd::Complete;
-    const bool wrong = client.m_answer.m_status == 200 &&
-                       client.m_answer.m_message.m_body != far.m_upstream->Body("/pull/1", client.m_id);
+    const bool wrong =
+      client.m_answer.m_status == 200 &&
+      client.m_answer.m_message.m_body != far.m_upstream->Body("/pull/1", client.m_id);
     const bool isLost = ran && (!complete || wrong);
     lost += isLost ? 1 : 0;
-    Note("client: %s sent %lld ms after the stop: status line '%s', %zu bytes, ended %lld ms after the stop: %s; upstream: %s%s",
-         client.m_id.c_str(), static_cast<long long>(client.m_answer.m_sentAt - stoppedAt),
-         client.m_answer.m_message.m_startLine.c_str(), client.m_received,
-         static_cast<long long>(client.m_answer.m_endAt - stoppedAt), client.m_answer.EndName(),
-         ran ? "answered 200 in full" : "did not answer 200", isLost ? " LOST" : "");
+    Note("client: %s sent %lld ms after the stop: status line '%s', %zu bytes, ended %lld ms after "
+         "the stop: %s; upstream: %s%s",
+         client.m_id.c_str(),
+         static_cast<long long>(client.m_answer.m_sentAt - stoppedAt),
+         client.m_answer.m_message.m_startLine.c_str(),
+         client.m_received,
+         static_cast<long long>(client.m_answer.m_endAt - stoppedAt),
+         client.m_answer.EndName(),
+         ran ? "answered 200 in full" : "did not answer 200",
+         isLost ? " LOST" : "");
   }
   char text[300];
-  std::snprintf(text, sizeof text, "%d of %d downloads that the upstream had answered in full ended without a complete answer", lost, kDownloads);
+  std::snprintf(
+    text,
+    sizeof text,
+    "%d of %d downloads that the upstream had answered in full ended without a complete answer",
+    lost,
+    kDownloads);
   return Finish(lost > 0 ? kBroken : kHeld, text);
 }
--- a/review/common/standins.h
+++ b/review/common/standins.h
@@ -1,5 +1,5 @@
-// Stand-ins for the cases of this review: an HTTP client, an upstream, its reports, a proxy and helpers that
-// start the project's own programs as processes. POSIX sockets and threads only.
+// Stand-ins for the cases of this review: an HTTP client, an upstream, its reports, a proxy and
+// helpers that start the project's own programs as processes. POSIX sockets and threads only.
 #pragma once
 
 #include <algorithm>
@@ -123,8 +123,8 @@
   return address;
 }
 
-// Opens a listener; returns -1 if the address is in use. aReceiveBuffer and aMaxSegment set the sizes that
-// accepted connections inherit, as on a link with small windows; 0 leaves them.
+// Opens a listener; returns -1 if the address is in use. aReceiveBuffer and aMaxSegment set the
+// sizes that accepted connections inherit, as on a link with small windows; 0 leaves them.
 inline int
 Listen(Address& aAddress, int aReceiveBuffer = 0, int aMaxSegment = 0)
 {
@@ -458,7 +458,8 @@
 inline std::string
 JsonPost(const std::string& aPath, const std::string& aBody)
 {
-  return "POST " + aPath + " HTTP/1.1\r\nHost: control\r\nContent-Type: application/json\r\nContent-Length: " +
+  return "POST " + aPath +
+         " HTTP/1.1\r\nHost: control\r\nContent-Type: application/json\r\nContent-Length: " +
          std::to_string(aBody.size()) + "\r\nConnection: close\r\n\r\n" + aBody;
 }
 
@@ -487,8 +488,8 @@
   std::function<std::size_t(const std::string&)> m_bytes = [](const std::string&) { return 200; };
 };
 
-// An upstream as the pages describe it: slots and a queue, identity, health, deadline, signature; drops a
-// request when its connection closes.
+// An upstream as the pages describe it: slots and a queue, identity, health, deadline, signature;
+// drops a request when its connection closes.
 class Upstream
 {
 public:
@@ -545,22 +546,24 @@
   std::string Heartbeat(bool aDraining)
   {
     char text[512];
-    std::snprintf(text,
-                  sizeof text,
-                  "{\"address\":\"%s\",\"born\":%lld,\"info\":{\"service\":\"%s\",\"version\":\"v1\",\"zone\":\"%s\","
-                  "\"capacity\":%d},\"status\":{\"state\":\"%s\",\"sequence\":%d,\"warmup_left_ms\":0}}",
-                  m_address.Text().c_str(),
-                  static_cast<long long>(m_born),
-                  m_options.m_service.c_str(),
-                  m_options.m_zone.c_str(),
-                  m_options.m_capacity,
-                  aDraining ? "draining" : "ready",
-                  ++m_sequence);
+    std::snprintf(
+      text,
+      sizeof text,
+      "{\"address\":\"%s\",\"born\":%lld,\"info\":{\"service\":\"%s\",\"version\":\"v1\",\"zone\":"
+      "\"%s\","
+      "\"capacity\":%d},\"status\":{\"state\":\"%s\",\"sequence\":%d,\"warmup_left_ms\":0}}",
+      m_address.Text().c_str(),
+      static_cast<long long>(m_born),
+      m_options.m_service.c_str(),
+      m_options.m_zone.c_str(),
+      m_options.m_capacity,
+      aDraining ? "draining" : "ready",
+      ++m_sequence);
     return text;
   }
   std::string HeartbeatPath() const { return "/-/instances/" + m_options.m_id + "/heartbeat"; }
   std::string DeregisterPath() const { return "/-/instances/" + m_options.m_id + "/deregister"; }
-  std::string Born_() const { return "{\"born\":" + std::to_string(m_born) + "}"; }
+  std::string BornBody() const { return "{\"born\":" + std::to_string(m_born) + "}"; }
 
 private:
   void AcceptLoop()
@@ -608,12 +611,16 @@
     }
   }
 
-  bool Send(int aSocket, const std::string& aStatus, const std::string& aHeaders, const std::string& aBody)
+  bool Send(int aSocket,
+            const std::string& aStatus,
+            const std::string& aHeaders,
+            const std::string& aBody)
   {
     const bool closing = m_leaving;
-    std::string text = "HTTP/1.1 " + aStatus + "\r\n" + aHeaders + "Content-Length: " +
-                       std::to_string(aBody.size()) + "\r\n" +
-                       (closing ? "Connection: close\r\n\r\n" : "Keep-Alive: timeout=10\r\n\r\n") + aBody;
+    std::string text = "HTTP/1.1 " + aStatus + "\r\n" + aHeaders +
+                       "Content-Length: " + std::to_string(aBody.size()) + "\r\n" +
+                       (closing ? "Connection: close\r\n\r\n" : "Keep-Alive: timeout=10\r\n\r\n") +
+                       aBody;
     return SendAll(aSocket, text) && !closing;
   }
 
@@ -659,10 +666,12 @@
                          .m_arrivedAt = Record::Get().Now() });
       const std::uint64_t ticket = m_nextTicket++;
       m_queue.push_back(ticket);
-      while (!m_stopped && (m_busy >= m_options.m_capacity || m_queue.front() != ticket) && SteadyMs() < deadline) {
+      while (!m_stopped && (m_busy >= m_options.m_capacity || m_queue.front() != ticket) &&
+             SteadyMs() < deadline) {
         m_slotFree.wait_for(lock, std::chrono::milliseconds(10));
       }
-      const bool admitted = !m_stopped && m_busy < m_options.m_capacity && m_queue.front() == ticket && SteadyMs() < deadline;
+      const bool admitted = !m_stopped && m_busy < m_options.m_capacity &&
+                            m_queue.front() == ticket && SteadyMs() < deadline;
       std::erase(m_queue, ticket);
       if (!admitted) {
         m_slotFree.notify_all();
@@ -690,7 +699,8 @@
     if (status == 0) {
       return false;
     }
-    const std::string signature = "Sequoiastep-Response-Signature: " + m_options.m_id + "." + id + "\r\n";
+    const std::string signature =
+      "Sequoiastep-Response-Signature: " + m_options.m_id + "." + id + "\r\n";
     return Send(aSocket,
                 status == 200 ? "200 OK" : "504 Gateway Timeout",
                 echo + signature,
@@ -835,10 +845,12 @@
     char folder[] = "/tmp/review-XXXXXX";
     m_folder = ::mkdtemp(folder);
     std::random_device random;
-    m_net = "127." + std::to_string(20 + random() % 200) + "." + std::to_string(1 + random() % 250) + ".";
+    m_net =
+      "127." + std::to_string(20 + random() % 200) + "." + std::to_string(1 + random() % 250) + ".";
     m_store = { .m_ip = m_net + "250", .m_port = FreePort(m_net + "250") };
     m_storeProcess = std::make_unique<Process>(
-      std::vector<std::string>{ "target/standinlog", "listen=" + m_store.Text() }, m_folder + "/store.log");
+      std::vector<std::string>{ "target/standinlog", "listen=" + m_store.Text() },
+      m_folder + "/store.log");
   }
   ~Mesh()
   {
@@ -855,18 +867,21 @@
   }
 
   // Adds a machine with an upstream and starts its node.
-  Machine& Add(const std::string& aName, UpstreamOptions aUpstream, const std::string& aRegion = "hobart")
+  Machine& Add(const std::string& aName,
+               UpstreamOptions aUpstream,
+               const std::string& aRegion = "hobart")
   {
     auto machine = std::make_unique<Machine>();
     machine->m_name = aName;
     machine->m_region = aRegion;
     machine->m_zone = aUpstream.m_zone;
     machine->m_ip = m_net + std::to_string(m_machines.size() + 1);
+    // It takes its port first, so that it gets none of those that are given out.
+    machine->m_upstream = std::make_unique<Upstream>(std::move(aUpstream), machine->m_ip);
     machine->m_outbound = { .m_ip = machine->m_ip, .m_port = FreePort(machine->m_ip) };
     machine->m_ready = { .m_ip = machine->m_ip, .m_port = FreePort(machine->m_ip) };
     machine->m_control = { .m_ip = machine->m_ip, .m_port = FreePort(machine->m_ip) };
     machine->m_peerPort = FreePort(machine->m_ip);
-    machine->m_upstream = std::make_unique<Upstream>(std::move(aUpstream), machine->m_ip);
     m_machines.push_back(std::move(machine));
     Machine& added = *m_machines.back();
     WriteSettings(added);
@@ -878,12 +893,27 @@
   void StartNode(Machine& aMachine)
   {
     aMachine.m_node = std::make_unique<Process>(
-      std::vector<std::string>{ "target/sequoiastep", "node", "--settings", aMachine.m_settingsPath },
+      std::vector<std::string>{
+        "target/sequoiastep", "node", "--settings", aMachine.m_settingsPath },
       m_folder + "/" + aMachine.m_name + ".log");
     Note("node %s started", aMachine.m_name.c_str());
   }
 
-  std::string LogOf(const Machine& aMachine) const { return ReadFile(m_folder + "/" + aMachine.m_name + ".log"); }
+  // Kills the node and starts it again after a short delay.
+  void Restart(Machine& aMachine)
+  {
+    constexpr std::int64_t kRestartDelayMs = 200;
+    aMachine.m_node->Signal(SIGKILL);
+    aMachine.m_node->Wait(5000);
+    Note("node %s killed", aMachine.m_name.c_str());
+    SleepMs(kRestartDelayMs);
+    StartNode(aMachine);
+  }
+
+  std::string LogOf(const Machine& aMachine) const
+  {
+    return ReadFile(m_folder + "/" + aMachine.m_name + ".log");
+  }
 
   // The operator writes a configuration; true if the store acknowledged it.
   bool WriteConfig(const std::string& aJson)
@@ -895,9 +925,9 @@
       body += static_cast<char>(record.size() >> shift & 0xffU);
     }
     body += record;
-    const std::string text =
-      "POST /admin/v1/append?topic=keyed.op&part=0 HTTP/1.1\r\nHost: store\r\nConnection: close\r\nContent-Length: " +
-      std::to_string(body.size()) + "\r\n\r\n" + body;
+    const std::string text = "POST /admin/v1/append?topic=keyed.op&part=0 HTTP/1.1\r\nHost: "
+                             "store\r\nConnection: close\r\nContent-Length: " +
+                             std::to_string(body.size()) + "\r\n\r\n" + body;
     for (int attempt = 0; attempt < 100; ++attempt) {
       if (Call(m_store, text, 1000).m_status == 200) {
         Note("operator: configuration acknowledged: %s", aJson.c_str());
@@ -911,7 +941,8 @@
   // One heartbeat of the upstream, sent now.
   static bool SendHeartbeat(const Machine& aMachine, const std::string& aBody)
   {
-    return Call(aMachine.m_control, JsonPost(aMachine.m_upstream->HeartbeatPath(), aBody), 1000).m_status == 200;
+    return Call(aMachine.m_control, JsonPost(aMachine.m_upstream->HeartbeatPath(), aBody), 1000)
+             .m_status == 200;
   }
 
   // Reports the upstream's state every aIntervalMs until it leaves.
@@ -920,7 +951,9 @@
     m_threads.emplace_back([this, &aMachine, aIntervalMs] {
       while (m_reporting && !aMachine.m_upstream->HasLeft()) {
         SendHeartbeat(aMachine, aMachine.m_upstream->Heartbeat(false));
-        for (std::int64_t waited = 0; waited < aIntervalMs && m_reporting && !aMachine.m_upstream->HasLeft(); waited += 10) {
+        for (std::int64_t waited = 0;
+             waited < aIntervalMs && m_reporting && !aMachine.m_upstream->HasLeft();
+             waited += 10) {
           SleepMs(10);
         }
       }
@@ -929,10 +962,14 @@
 
   static bool IsReady(const Machine& aMachine)
   {
-    return Call(aMachine.m_ready, "GET /-/ready HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n", 1000).m_status == 200;
+    return Call(aMachine.m_ready,
+                "GET /-/ready HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n",
+                1000)
+             .m_status == 200;
   }
 
-  // Waits until all nodes are ready and each knows aMembers members that are up, aServices of them with a service.
+  // Waits until all nodes are ready and each knows aMembers members that are up, aServices of them
+  // with a service.
   bool WaitUntilFormed(std::size_t aMembers, std::int64_t aMs = 20'000)
   {
     const std::int64_t deadline = SteadyMs() + aMs;
@@ -953,13 +990,18 @@
   static std::size_t CountUp(const Machine& aMachine)
   {
     const Answer answer =
-      Call(aMachine.m_ready, "GET /admin/v1/members HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n", 1000);
+      Call(aMachine.m_ready,
+           "GET /admin/v1/members HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n",
+           1000);
     std::size_t count = 0;
     std::size_t at = 0;
     const std::string& body = answer.m_message.m_body;
     while ((at = body.find("{\"node\":", at)) != std::string::npos) {
       const std::string entry = body.substr(at, body.find('}', at) - at);
-      count += entry.find("\"state\":\"up\"") != std::string::npos && entry.find("\"service\":\"\"") == std::string::npos ? 1 : 0;
+      count += entry.find("\"state\":\"up\"") != std::string::npos &&
+                   entry.find("\"service\":\"\"") == std::string::npos
+                 ? 1
+                 : 0;
       ++at;
     }
     return count;
@@ -1026,22 +1068,28 @@
 
 // The operator's record with the given routes and services.
 inline std::string
-ConfigText(int aVersion, const std::vector<RouteOptions>& aRoutes, const std::vector<std::string>& aServices)
+ConfigText(int aVersion,
+           const std::vector<RouteOptions>& aRoutes,
+           const std::vector<std::string>& aServices)
 {
-  std::string text = "{\"version\":\"r" + std::to_string(aVersion) + "\",\"base_version\":\"r0\",\"resources\":[";
+  std::string text =
+    "{\"version\":\"r" + std::to_string(aVersion) + "\",\"base_version\":\"r0\",\"resources\":[";
   for (const RouteOptions& route : aRoutes) {
-    text += "{\"resource_kind\":\"routes\",\"metadata\":{\"name\":\"" + route.m_name + "\"},\"spec\":{\"host\":\"" + kHost +
-            "\",\"path_prefix\":\"" + route.m_prefix + "\",\"kind\":\"" + route.m_kind +
+    text += "{\"resource_kind\":\"routes\",\"metadata\":{\"name\":\"" + route.m_name +
+            "\"},\"spec\":{\"host\":\"" + kHost + "\",\"path_prefix\":\"" + route.m_prefix +
+            "\",\"kind\":\"" + route.m_kind +
             "\",\"timeout_ms\":" + std::to_string(route.m_timeoutMs) +
             ",\"target_latency_ms\":" + std::to_string(route.m_targetLatencyMs) +
-            ",\"priority\":" + std::to_string(route.m_priority) + ",\"service\":\"" + route.m_service +
-            "\",\"max_attempts\":2}},";
+            ",\"priority\":" + std::to_string(route.m_priority) + ",\"service\":\"" +
+            route.m_service + "\",\"max_attempts\":2}},";
   }
   for (const std::string& service : aServices) {
     text += "{\"resource_kind\":\"services\",\"metadata\":{\"name\":\"" + service +
-            "\"},\"spec\":{\"health_path\":\"/health\",\"max_connections\":120,\"protocol\":\"h1\",\"tls\":false}},";
+            "\"},\"spec\":{\"health_path\":\"/"
+            "health\",\"max_connections\":120,\"protocol\":\"h1\",\"tls\":false}},";
   }
-  return text + "{\"resource_kind\":\"limits\",\"metadata\":{},\"spec\":{\"max_header_bytes\":16384,\"max_body_bytes\":"
+  return text + "{\"resource_kind\":\"limits\",\"metadata\":{},\"spec\":{\"max_header_bytes\":"
+                "16384,\"max_body_bytes\":"
                 "67108864,\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}]}";
 }
 
