Count all that a stopping node owes, from a request's first byte to its answer's last

Cause: a stop ended as soon as no handler ran; a response that was still being written, an answer queued on a link to another node, and a request read in part counted as nothing. A connection whose response was being written when accepting stopped had not said that it closes and stayed open until it was cut. Change: StopDebts counts connections of callers from a request's first byte until the client has the last byte of its response, requests, calls, and bytes that other nodes have not acknowledged (as the kernel tells). It is logged at the end of each stop.

--- a/modules/net/include/FrameConnection.h
+++ b/modules/net/include/FrameConnection.h
@@ -52,6 +52,8 @@
   void Close();
   /// @return true until the connection is closed.
   bool IsOpen() const;
+  /// @return the bytes that are queued or that the peer has not acknowledged; an upper bound.
+  std::size_t UndeliveredBytes() const;
   /// @return the bytes sent and received so far.
   const ByteCounts& Bytes() const;
   /// Releases the socket so that another io_context can adopt it; only before Start. Bytes read
--- a/modules/net/include/HttpServer.h
+++ b/modules/net/include/HttpServer.h
@@ -78,6 +78,10 @@
   void CloseAll();
   /// @return the number of open connections.
   std::size_t ConnectionCount() const;
+  /// @return the number of connections on which the server still owes the client something: a
+  /// request is being received, handled or answered, or the client has yet to receive the rest of
+  /// the last response before a close.
+  std::size_t OwedConnections() const;
 
 private:
   std::shared_ptr<HttpServerState> m_state;
--- a/modules/net/include/SocketOptions.h
+++ b/modules/net/include/SocketOptions.h
@@ -1,9 +1,12 @@
 /// @file
-/// Socket options by which a connection detects a dead or silent peer.
+/// Socket options by which a connection detects a dead or silent peer, and what the peer has not
+/// acknowledged.
 #pragma once
 
 #include "AsioTypes.h"
 
+#include <cstddef>
+
 namespace sequoiastep::net {
 
 /// Sends small writes without delay (TCP_NODELAY), probes a silent connection (keep-alive) and
@@ -16,4 +19,9 @@
 void
 SetUserTimeout(tcp::socket& aSocket, std::int64_t aTimeoutMs);
 
+/// @return the bytes that the kernel holds because the peer has not acknowledged them; 0 if the
+/// kernel does not tell.
+std::size_t
+UnacknowledgedBytes(tcp::socket& aSocket);
+
 } // namespace sequoiastep::net
--- a/modules/net/src/FrameConnection.cpp
+++ b/modules/net/src/FrameConnection.cpp
@@ -3,6 +3,7 @@
 #include "Log.h"
 #include "SocketOptions.h"
 
+#include <array>
 #include <boost/asio/write.hpp>
 #include <chrono>
 #include <optional>
@@ -18,6 +19,7 @@
 constexpr std::size_t kMaxSendQueueBytes = 48U << 20;
 // A peer that acknowledges nothing for this long counts as dead, even if it closed no connection.
 constexpr std::int64_t kUserTimeoutMs = 3000;
+constexpr int kMaxDiscardingReads = 256;
 
 } // namespace
 
@@ -49,6 +51,18 @@
   aState.m_socket.close(ignored);
 }
 
+// Closing a socket with unread bytes resets the connection, which can destroy what the peer has not
+// read yet.
+void
+DiscardUnread(FrameConnectionState& aState)
+{
+  std::array<char, 4096> discarded{};
+  error_code error;
+  for (int reads = 0; reads < kMaxDiscardingReads && aState.m_socket.is_open() && !error; ++reads) {
+    aState.m_socket.read_some(asio::buffer(discarded), error);
+  }
+}
+
 void
 FailConnection(const StatePtr& aState, const std::string& aReason)
 {
@@ -223,6 +237,7 @@
 {
   m_state->m_onMessage = nullptr;
   m_state->m_onClosed = nullptr;
+  DiscardUnread(*m_state);
   CloseSocket(*m_state);
 }
 
@@ -232,6 +247,17 @@
   return m_state->m_socket.is_open();
 }
 
+std::size_t
+FrameConnection::UndeliveredBytes() const
+{
+  if (!IsOpen()) {
+    return 0;
+  }
+  // The write buffer may be partly with the kernel and count twice.
+  const std::size_t writing = m_state->m_writeInFlight ? m_state->m_writeBuffer.size() : 0;
+  return m_state->m_sendQueue.size() + writing + UnacknowledgedBytes(m_state->m_socket);
+}
+
 const ByteCounts&
 FrameConnection::Bytes() const
 {
--- a/modules/net/src/HttpServer.cpp
+++ b/modules/net/src/HttpServer.cpp
@@ -5,7 +5,9 @@
 #include "ByteBudget.h"
 #include "Clock.h"
 #include "Log.h"
+#include "SocketOptions.h"
 
+#include <algorithm>
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/write.hpp>
@@ -25,7 +27,8 @@
 constexpr Milliseconds kAcceptBackoffMs = 50;
 // Interval between checks for connections past their deadlines.
 constexpr Milliseconds kTimeoutCheckMs = 250;
-// How long the client may take to close its side after the last response.
+// How long the client may take to close its side after it received the last response, and to
+// receive more of that response.
 constexpr Milliseconds kLingerMs = 1000;
 constexpr std::size_t kMaxPipelined = 32;
 constexpr std::size_t kReadBufferBytes = 4096;
@@ -87,12 +90,28 @@
   /// The last response announced the close of the connection; requests read after it are not run.
   bool m_closing = false;
   bool m_readerDone = false;
+  /// Everything is written; the client has yet to receive it and to close its side.
+  bool m_lingering = false;
+  /// While lingering: bytes that the client had not acknowledged when last checked.
+  std::size_t m_unacknowledged = 0;
   /// The socket is closed or the client disconnected; the read and write loops end.
   bool m_disconnected = false;
 };
 
 using ConnectionPtr = std::shared_ptr<Connection>;
 
+// True while a request is being received, handled or answered, or the client has yet to receive the
+// rest of the last response.
+bool
+Owes(const Connection& aConnection)
+{
+  if (aConnection.m_disconnected) {
+    return false;
+  }
+  const bool halfRead = !aConnection.m_betweenRequests && !aConnection.m_readerDone;
+  return aConnection.m_lingering || !aConnection.m_exchanges.empty() || halfRead;
+}
+
 void
 Disconnect(Connection& aConnection)
 {
@@ -360,12 +379,24 @@
   co_return !error && keepAlive;
 }
 
+// Whether the server closes the connection now. If it stops, idle connections are closed, also
+// those that became idle after StopAccepting, since their last response did not say that they
+// close.
+bool
+ClosesNow(const HttpServerState& aState, const Connection& aConnection)
+{
+  const bool idle = aConnection.m_exchanges.empty() && aConnection.m_betweenRequests;
+  return (aConnection.m_exchanges.empty() && (aConnection.m_readerDone || aConnection.m_closing)) ||
+         (aState.m_stopping && idle);
+}
+
 Awaitable<void>
 WriteLoop(const StatePtr& aState, Connection& aConnection)
 {
   while (!aConnection.m_disconnected) {
     if (aConnection.m_exchanges.empty() || !aConnection.m_exchanges.front()->m_response) {
-      if (aConnection.m_exchanges.empty() && (aConnection.m_readerDone || aConnection.m_closing)) {
+      if (ClosesNow(*aState, aConnection)) {
+        aConnection.m_closing = true;
         co_return;
       }
       co_await aConnection.m_responseReady.Wait();
@@ -381,11 +412,14 @@
 // Reads until the client closes: closing a socket with unread bytes sends a reset, which can
 // destroy the last response in transit.
 Awaitable<void>
-Linger(Connection& aConnection)
+Linger(const StatePtr& aState, Connection& aConnection)
 {
   error_code ignored;
   aConnection.m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+  aConnection.m_lingering = true;
+  aConnection.m_unacknowledged = UnacknowledgedBytes(aConnection.m_socket);
   aConnection.m_readDeadline = Clock::Now() + kLingerMs;
+  aConnection.m_writeDeadline = Clock::Now() + aState->m_limits.m_transferTimeoutMs;
   while (!aConnection.m_readerDone && aConnection.m_socket.is_open()) {
     co_await aConnection.m_responseReady.Wait();
   }
@@ -399,6 +433,17 @@
   }
 }
 
+// A client that still receives the last response may take longer to close its side.
+void
+ExtendLinger(Connection& aConnection, Instant aNow)
+{
+  const std::size_t unacknowledged = UnacknowledgedBytes(aConnection.m_socket);
+  if (aConnection.m_lingering && unacknowledged < aConnection.m_unacknowledged) {
+    aConnection.m_unacknowledged = unacknowledged;
+    aConnection.m_readDeadline = aNow + kLingerMs;
+  }
+}
+
 // Closes the connections whose deadlines have passed. An idle deadline does not apply while
 // requests are in progress. Ends when no connection is open.
 Awaitable<void>
@@ -410,6 +455,7 @@
     const Instant now = Clock::Now();
     const std::set<ConnectionPtr> connections = aState->m_connections;
     for (const ConnectionPtr& connection : connections) {
+      ExtendLinger(*connection, now);
       const bool readOverdue = connection->m_readDeadline && now >= *connection->m_readDeadline;
       const bool writeOverdue = connection->m_writeDeadline && now >= *connection->m_writeDeadline;
       const bool busy = connection->m_betweenRequests && !connection->m_exchanges.empty();
@@ -433,7 +479,7 @@
   asio::co_spawn(aState->m_context, ReadLoop(aState, connection), asio::detached);
   co_await WriteLoop(aState, *connection);
   if (!connection->m_disconnected) {
-    co_await Linger(*connection);
+    co_await Linger(aState, *connection);
   }
   Disconnect(*connection);
   aState->m_connections.erase(connection);
@@ -511,10 +557,7 @@
   m_state->m_acceptor.close(ignored);
   const std::set<ConnectionPtr> connections = m_state->m_connections;
   for (const ConnectionPtr& connection : connections) {
-    if (connection->m_exchanges.empty() && connection->m_betweenRequests) {
-      connection->m_closing = true;
-      connection->m_responseReady.Wake();
-    }
+    connection->m_responseReady.Wake();
   }
 }
 
@@ -534,6 +577,15 @@
   return m_state->m_connections.size();
 }
 
+std::size_t
+HttpServer::OwedConnections() const
+{
+  return static_cast<std::size_t>(
+    std::count_if(m_state->m_connections.begin(),
+                  m_state->m_connections.end(),
+                  [](const ConnectionPtr& aConnection) { return Owes(*aConnection); }));
+}
+
 HttpResponse
 MakeResponse(http::status aStatus, std::string_view aContentType, std::string aBody)
 {
--- a/modules/net/src/SocketOptions.cpp
+++ b/modules/net/src/SocketOptions.cpp
@@ -1,8 +1,10 @@
 #include "SocketOptions.h"
 
 #include <algorithm>
+#include <linux/sockios.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <sys/ioctl.h>
 #include <sys/socket.h>
 
 namespace sequoiastep::net {
@@ -39,4 +41,12 @@
   SetUserTimeout(aSocket, aTimeoutMs);
 }
 
+std::size_t
+UnacknowledgedBytes(tcp::socket& aSocket)
+{
+  int bytes = 0;
+  const bool known = aSocket.is_open() && ::ioctl(aSocket.native_handle(), SIOCOUTQ, &bytes) == 0;
+  return known && bytes > 0 ? static_cast<std::size_t>(bytes) : 0;
+}
+
 } // namespace sequoiastep::net
--- a/modules/net/tests/HttpTest.cpp
+++ b/modules/net/tests/HttpTest.cpp
@@ -266,6 +266,65 @@
   CHECK(server.m_started == std::vector<std::string>{ "/a" });
 }
 
+// Guards against a stop that cuts responses which are still being written.
+TEST_CASE("a response is owed to its client until the client has received all of it")
+{
+  constexpr std::size_t kBytes = 16U << 20; // Far more than the kernel buffers.
+  asio::io_context context;
+  HttpServer server(
+    context,
+    {},
+    [](const HttpRequest&) -> Awaitable<HttpResponse> {
+      co_return MakeResponse(http::status::ok, "text/plain", std::string(kBytes, 'x'));
+    },
+    ErrorResponse);
+  const auto endpoint = Handle(
+    [&] {
+      return server.Listen({ asio::ip::make_address("127.0.0.1"), 0 });
+    },
+    [](const Error&) { return tcp::endpoint(); });
+  tcp::socket client(context, tcp::v4());
+  client.set_option(asio::socket_base::receive_buffer_size(1 << 19));
+  client.connect(endpoint);
+  RunUntil(
+    context, [&] { return server.ConnectionCount() == 1; }, 100);
+  CHECK(server.OwedConnections() == 0);
+  SUBCASE("half a request is owed its rest")
+  {
+    asio::write(client, asio::buffer(std::string("GET / HTTP/1.1\r\nHo")));
+    CHECK(RunUntil(
+      context, [&] { return server.OwedConnections() == 1; }, 1000));
+    server.StopAccepting();
+    asio::write(client, asio::buffer(std::string("st: x\r\n\r\n")));
+  }
+  SUBCASE("a whole request")
+  {
+    asio::write(client, asio::buffer(std::string("GET / HTTP/1.1\r\nHost: x\r\n\r\n")));
+    RunUntil(
+      context, [&] { return false; }, 50);
+    server.StopAccepting();
+  }
+  RunUntil(
+    context, [] { return false; }, 50);
+  CHECK(server.OwedConnections() == 1);
+  client.non_blocking(true);
+  std::size_t received = 0;
+  std::vector<char> bytes(1U << 16);
+  const bool complete = RunUntil(
+    context,
+    [&] {
+      error_code error;
+      received += client.read_some(asio::buffer(bytes), error);
+      return error == asio::error::eof;
+    },
+    100'000);
+  CHECK(complete);
+  CHECK(received > kBytes);
+  CHECK(server.OwedConnections() == 1);
+  client.close();
+  CHECK(RunUntil(context, [&] { return server.OwedConnections() == 0; }));
+}
+
 TEST_CASE("a connection is reused after a complete response that belongs to its request")
 {
   asio::io_context context(1);
--- a/modules/node/src/CallProxy.cpp
+++ b/modules/node/src/CallProxy.cpp
@@ -355,10 +355,17 @@
   m_callerServer.StopAccepting();
 }
 
-bool
-CallProxy::IsIdle() const
+StopDebts
+CallProxy::Debts() const
 {
-  return m_callerRequests == 0 && m_inboundCalls == 0 && m_runner.Outstanding() == 0;
+  StopDebts debts{ .m_callerConnections = m_callerServer.OwedConnections(),
+                   .m_callerRequests = m_callerRequests,
+                   .m_inboundCalls = m_inboundCalls,
+                   .m_targetRequests = m_runner.Outstanding() };
+  if (debts.IsClear()) {
+    debts.m_undeliveredBytes = UndeliveredBytes();
+  }
+  return debts;
 }
 
 void
--- a/modules/node/src/CallProxy.h
+++ b/modules/node/src/CallProxy.h
@@ -36,6 +36,26 @@
 /// Header that carries a request's idempotency key.
 constexpr std::string_view kIdempotencyKeyHeader = "Idempotency-Key";
 
+/// What a node that stops still owes to its peers.
+struct StopDebts
+{
+  /// Connections of callers on which a request is being received, handled or answered, or whose
+  /// last response has yet to be received.
+  std::size_t m_callerConnections = 0;
+  /// Requests of callers in progress.
+  std::uint32_t m_callerRequests = 0;
+  /// Calls of other nodes in progress.
+  std::uint32_t m_inboundCalls = 0;
+  /// Requests that run or wait at the target beside this node.
+  std::uint32_t m_targetRequests = 0;
+  /// Bytes of answers that other nodes have yet to receive; counted once nothing else is owed.
+  std::size_t m_undeliveredBytes = 0;
+
+  /// @return true if nothing is owed.
+  bool IsClear() const { return *this == StopDebts{}; }
+  friend bool operator==(const StopDebts&, const StopDebts&) = default;
+};
+
 /// Owns the ports for callers and for the target, and the call links to other nodes. Everything but
 /// the constructor runs on the calls thread.
 class CallProxy
@@ -65,8 +85,8 @@
   void StopAcceptingCalls();
   /// Third step of a stop: accepts no new connections of callers.
   void StopAcceptingCallers();
-  /// @return true if no call is in progress.
-  bool IsIdle() const;
+  /// @return what this node still owes. It may stop once that is nothing.
+  StopDebts Debts() const;
   /// Last step of a stop: closes all connections.
   void Stop();
   /// @return the metrics of the calls thread as Prometheus text.
@@ -129,6 +149,7 @@
   net::Awaitable<void> ProbeTarget();
   void AnnounceTarget();
   std::uint16_t MinSlotsOfService(const std::string& aService) const;
+  std::size_t UndeliveredBytes() const;
 
   net::asio::io_context& m_context;
   const Settings& m_settings;
--- a/modules/node/src/CallProxyServe.cpp
+++ b/modules/node/src/CallProxyServe.cpp
@@ -65,6 +65,17 @@
     });
 }
 
+// Bytes on the links from other nodes that those have not received.
+std::size_t
+CallProxy::UndeliveredBytes() const
+{
+  std::size_t bytes = 0;
+  for (const InboundLinkPtr& link : m_inboundLinks) {
+    bytes += link->m_connection->UndeliveredBytes();
+  }
+  return bytes;
+}
+
 void
 CallProxy::Receive(const InboundLinkPtr& aLink, wire::EnvelopeT aMessage)
 {
--- a/modules/node/src/Node.cpp
+++ b/modules/node/src/Node.cpp
@@ -145,11 +145,36 @@
     co_await timer.async_wait(kAsTuple);
   }
 
-  Awaitable<bool> CallsAreIdle()
+  Awaitable<StopDebts> FetchDebts()
   {
-    const auto query = [](CallProxy& aCalls) -> Awaitable<bool> { co_return aCalls.IsIdle(); };
-    const bool idle = co_await asio::co_spawn(m_callsContext, query(*m_calls), asio::use_awaitable);
-    co_return idle;
+    const auto query = [](CallProxy& aCalls) -> Awaitable<StopDebts> { co_return aCalls.Debts(); };
+    const StopDebts debts =
+      co_await asio::co_spawn(m_callsContext, query(*m_calls), asio::use_awaitable);
+    co_return debts;
+  }
+
+  // Waits until nothing is owed, until aLimit at most. Returns what is still owed then.
+  Awaitable<StopDebts> PayDebts(Instant aLimit)
+  {
+    StopDebts debts = co_await FetchDebts();
+    while (!debts.IsClear() && Clock::Now() < aLimit) {
+      co_await Sleep(kDrainPollMs);
+      debts = co_await FetchDebts();
+    }
+    co_return debts;
+  }
+
+  static void LogDebts(const StopDebts& aDebts, Milliseconds aElapsedMs)
+  {
+    const bool clear = aDebts.IsClear();
+    LogLine(clear ? LogLevel::Info : LogLevel::Warning, clear ? "drained" : "drain_time_over")
+      .Add("after_ms", aElapsedMs)
+      .Add("caller_connections", aDebts.m_callerConnections)
+      .Add("caller_requests", aDebts.m_callerRequests)
+      .Add("inbound_calls", aDebts.m_inboundCalls)
+      .Add("target_requests", aDebts.m_targetRequests)
+      .Add("undelivered_bytes", aDebts.m_undeliveredBytes)
+      .Add("remedy", clear ? "none" : "if requests take longer, increase timings.drain_ms");
   }
 
   // Waits until aAfterMs after the stop request at aStart.
@@ -172,17 +197,11 @@
     co_await SleepUntil(start, timings.m_callerNoticeMs);
     asio::post(m_callsContext, [this] { m_calls->StopAcceptingCallers(); });
     const auto limitMs = static_cast<Milliseconds>(timings.m_drainMs * kDrainFraction);
-    bool idle = false;
-    while (!idle && Clock::Now() - start < limitMs) {
-      co_await Sleep(kDrainPollMs);
-      idle = co_await CallsAreIdle();
-    }
-    if (!idle) {
-      LogLine(LogLevel::Warning, "drain_time_over")
-        .Add("remedy", "if requests take longer than this, increase timings.drain_ms");
-    }
+    const StopDebts debts = co_await PayDebts(start + limitMs);
+    LogDebts(debts, Clock::Now() - start);
     m_control.Feed(distribution::LeaveRequested{});
     co_await Sleep(kLeaveNoticeMs);
+    co_await PayDebts(start + limitMs); // Answers to calls that came meanwhile.
     asio::post(m_callsContext, [this] {
       m_calls->Stop();
       m_callsContext.stop();
