Don't wait at a stop for clients to close connections on which nothing is due

Change: a closing connection is owed only if its last response announced the close or bytes of it are not acknowledged. Evidence: HttpTest 'an idle connection that the server closes is owed nothing'; stop.sh passes.

--- a/modules/net/src/HttpServer.cpp
+++ b/modules/net/src/HttpServer.cpp
@@ -87,10 +87,12 @@
   std::optional<Instant> m_writeDeadline;
   /// No byte of the next request has arrived.
   bool m_betweenRequests = true;
-  /// The last response announced the close of the connection; requests read after it are not run.
+  /// The server closes the connection; requests read from now on are not run.
   bool m_closing = false;
+  /// The last response announced the close.
+  bool m_closeAnnounced = false;
   bool m_readerDone = false;
-  /// Everything is written; the client has yet to receive it and to close its side.
+  /// The last response is written; the client has yet to receive it and to close its side.
   bool m_lingering = false;
   /// While lingering: bytes that the client had not acknowledged when last checked.
   std::size_t m_unacknowledged = 0;
@@ -108,7 +110,8 @@
   if (aConnection.m_disconnected) {
     return false;
   }
-  const bool halfRead = !aConnection.m_betweenRequests && !aConnection.m_readerDone;
+  const bool halfRead =
+    !aConnection.m_betweenRequests && !aConnection.m_readerDone && !aConnection.m_closing;
   return aConnection.m_lingering || !aConnection.m_exchanges.empty() || halfRead;
 }
 
@@ -370,6 +373,7 @@
   const bool keepAlive = IsKeptAliveAfterFirst(*aState, aConnection);
   exchange->m_response->keep_alive(keepAlive);
   aConnection.m_closing = !keepAlive;
+  aConnection.m_closeAnnounced = !keepAlive;
   aConnection.m_writeDeadline = Clock::Now() + aState->m_limits.m_transferTimeoutMs;
   const auto [error, size] =
     co_await http::async_write(aConnection.m_socket, *exchange->m_response, kAsTuple);
@@ -415,9 +419,10 @@
 Linger(const StatePtr& aState, Connection& aConnection)
 {
   error_code ignored;
-  aConnection.m_socket.shutdown(tcp::socket::shutdown_send, ignored);
-  aConnection.m_lingering = true;
   aConnection.m_unacknowledged = UnacknowledgedBytes(aConnection.m_socket);
+  // An idle connection whose client has received everything owes nothing.
+  aConnection.m_lingering = aConnection.m_closeAnnounced || aConnection.m_unacknowledged > 0;
+  aConnection.m_socket.shutdown(tcp::socket::shutdown_send, ignored);
   aConnection.m_readDeadline = Clock::Now() + kLingerMs;
   aConnection.m_writeDeadline = Clock::Now() + aState->m_limits.m_transferTimeoutMs;
   while (!aConnection.m_readerDone && aConnection.m_socket.is_open()) {
--- a/modules/net/tests/HttpTest.cpp
+++ b/modules/net/tests/HttpTest.cpp
@@ -325,6 +325,24 @@
   CHECK(RunUntil(context, [&] { return server.OwedConnections() == 0; }));
 }
 
+// Guards against stops that wait for clients to close connections on which nothing is due.
+TEST_CASE("an idle connection that the server closes is owed nothing")
+{
+  asio::io_context context;
+  HeldServer held(context);
+  tcp::socket client(context);
+  client.connect(held.m_endpoint);
+  asio::write(client, asio::buffer(std::string("GET /a HTTP/1.1\r\nHost: x\r\n\r\n")));
+  REQUIRE(RunUntil(context, [&] { return held.m_started.size() == 1; }));
+  held.Answer("/a");
+  ReceiveUntil(context, client, "\r\n\r\n/a");
+  held.m_server.StopAccepting();
+  RunUntil(
+    context, [] { return false; }, 20);
+  CHECK(held.m_server.ConnectionCount() == 1);
+  CHECK(held.m_server.OwedConnections() == 0);
+}
+
 TEST_CASE("a connection is reused after a complete response that belongs to its request")
 {
   asio::io_context context(1);
