Keep a target's stated start time when it leaves; an unknown one is no number

Cause: a health check leaves the start time unknown, held as 0; RecordLeave put it in place of the one that the leave stated, and the late report's start time is above 0, so it counted as a new incarnation's. Change: start times are optional in reports, departures and notices. Departures are kept for each incarnation, bounded, also for one that has not reported yet. TargetNoticeTest's 0 for an unknown start time became nullopt, its checks are unchanged.

--- a/modules/node/src/TargetApi.cpp
+++ b/modules/node/src/TargetApi.cpp
@@ -85,6 +85,12 @@
     });
 }
 
+std::string
+BornText(std::optional<std::int64_t> aBornMs)
+{
+  return aBornMs ? std::to_string(*aBornMs) : "unknown";
+}
+
 net::HttpResponse
 AcceptedResponse()
 {
@@ -119,7 +125,7 @@
     .Add("service", aReport.m_service)
     .Add("address", aReport.m_address)
     .Add("target", aReport.m_id)
-    .Add("born_ms", aReport.m_bornMs)
+    .Add("born_ms", BornText(aReport.m_bornMs))
     .Add("sequence", aReport.m_sequence)
     .Add("slots", aReport.m_slots)
     .Add("state", aReport.m_leaving ? "draining" : "up");
@@ -160,9 +166,12 @@
 net::HttpResponse
 TargetApi::HandleDeregister(const std::string& aId, const std::string& aBody)
 {
-  const bool known =
-    routing::RecordLeave(m_record, aId, adapter::DecodeBornMs(aBody), Clock::Now());
-  LogLine(LogLevel::Info, "target_leaves").Add("target", aId).Add("known", known ? "yes" : "no");
+  const routing::Departure departure{ .m_id = aId, .m_bornMs = adapter::DecodeBornMs(aBody) };
+  const bool known = routing::RecordLeave(m_record, departure, Clock::Now());
+  LogLine(LogLevel::Info, "target_leaves")
+    .Add("target", aId)
+    .Add("born_ms", BornText(departure.m_bornMs))
+    .Add("known", known ? "yes" : "no");
   if (known) {
     m_onChange(m_record.m_newest);
   }
@@ -181,7 +190,7 @@
 bool
 TargetApi::HasNoReport() const
 {
-  return !m_record.m_newest && m_record.m_leftId.empty();
+  return !m_record.m_newest && m_record.m_departures.empty();
 }
 
 net::Awaitable<net::HttpResponse>
--- a/modules/node/src/TargetRunner.cpp
+++ b/modules/node/src/TargetRunner.cpp
@@ -239,7 +239,7 @@
 // its place.
 void
 TargetRunner::RecordNotice(const std::string& aId,
-                           std::int64_t aBornMs,
+                           std::optional<std::int64_t> aBornMs,
                            const net::HttpResponse& aResponse)
 {
   if (aId != m_target.m_id || aBornMs != m_target.m_bornMs) {
@@ -426,7 +426,7 @@
   m_shared.m_calls.m_dispatched.fetch_add(1, std::memory_order_relaxed);
   const std::shared_ptr<net::HttpClient> client = m_client;
   const std::string targetId = m_target.m_id;
-  const std::int64_t bornMs = m_target.m_bornMs;
+  const std::optional<std::int64_t> bornMs = m_target.m_bornMs;
   const std::string id = aCall.request_id;
   HttpRequest request = MakeTargetRequest(aCall, m_target, left);
   net::HttpClient::ResponseMatcher belongs = [&id](const net::HttpResponse& aResponse) {
--- a/modules/node/src/TargetRunner.h
+++ b/modules/node/src/TargetRunner.h
@@ -106,7 +106,7 @@
   void ApplyDecision(const routing::QueueDecision& aDecision);
   void UseNotice(std::string_view aSource);
   void RecordNotice(const std::string& aId,
-                    std::int64_t aBornMs,
+                    std::optional<std::int64_t> aBornMs,
                     const net::HttpResponse& aResponse);
   void ApplyServiceLimits(const std::string& aService);
   wire::AnswerT MakeRefusal(std::string_view aReason, bool aOverloaded) const;
--- a/modules/routing/include/TargetNotice.h
+++ b/modules/routing/include/TargetNotice.h
@@ -30,8 +30,8 @@
 {
   /// The target's id; empty if it has none.
   std::string m_id;
-  /// When the incarnation started, in Unix milliseconds by its own clock; 0 if not known.
-  std::int64_t m_bornMs = 0;
+  /// When the incarnation started, in Unix milliseconds by its own clock; none if not known.
+  std::optional<std::int64_t> m_bornMs;
   TargetNotice m_notice;
 };
 
@@ -45,7 +45,9 @@
 
 /// Sets the target's incarnation. The notice is dropped if it is another one.
 void
-SetIncarnation(NoticeRecord& aRecord, const std::string& aId, std::int64_t aBornMs);
+SetIncarnation(NoticeRecord& aRecord,
+               const std::string& aId,
+               std::optional<std::int64_t> aBornMs);
 
 /// Applies the notice of a response of the current incarnation. A response that was under way may
 /// be overtaken, so that one without it does not take back that the target leaves.
--- a/modules/routing/include/TargetRecord.h
+++ b/modules/routing/include/TargetRecord.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <optional>
 #include <string>
+#include <vector>
 
 namespace sequoiastep::routing {
 
@@ -17,8 +18,9 @@
   /// Id of one incarnation. Requests carry it, so that no other incarnation accepts them. May be
   /// empty.
   std::string m_id;
-  /// When the incarnation started, by its own clock in Unix milliseconds.
-  std::int64_t m_bornMs = 0;
+  /// When the incarnation started, by its own clock in Unix milliseconds; none if it is not known,
+  /// as after a health check.
+  std::optional<std::int64_t> m_bornMs;
   /// Increases with each report of an incarnation.
   std::uint64_t m_sequence = 0;
   std::string m_service;
@@ -30,6 +32,22 @@
   bool m_leaving = false;
 };
 
+/// The leaving of an incarnation. It is final: later reports of it can't take it back.
+struct Departure
+{
+  /// The target's id.
+  std::string m_id;
+  /// The incarnation's start time; none if it left without stating it.
+  std::optional<std::int64_t> m_bornMs;
+};
+
+/// A departure and when this node learned of it.
+struct RecordedDeparture
+{
+  Departure m_departure;
+  Instant m_at;
+};
+
 /// State of the target as of the accepted reports.
 struct TargetRecord
 {
@@ -37,12 +55,8 @@
   std::optional<TargetReport> m_newest;
   /// When m_newest came.
   Instant m_heardAt;
-  /// Incarnation that left; its late reports are ignored.
-  std::string m_leftId;
-  /// Its start time; none if it left without stating it.
-  std::optional<std::int64_t> m_leftBornMs;
-  /// When it left.
-  Instant m_leftAt;
+  /// Incarnations that left, oldest first; bounded. Their late reports are ignored.
+  std::vector<RecordedDeparture> m_departures;
 };
 
 /// Result of applying a report.
@@ -68,13 +82,9 @@
 ReportOutcome
 ApplyReport(TargetRecord& aRecord, const TargetReport& aReport, Instant aNow);
 
-/// Records that the incarnation aId announced that it leaves.
-/// @param aBornMs its start time if it stated it.
+/// Records that an incarnation leaves.
 /// @return true if it is the one of the latest accepted report.
 bool
-RecordLeave(TargetRecord& aRecord,
-            const std::string& aId,
-            std::optional<std::int64_t> aBornMs,
-            Instant aNow);
+RecordLeave(TargetRecord& aRecord, const Departure& aDeparture, Instant aNow);
 
 } // namespace sequoiastep::routing
--- a/modules/routing/src/TargetNotice.cpp
+++ b/modules/routing/src/TargetNotice.cpp
@@ -16,12 +16,12 @@
 } // namespace
 
 void
-SetIncarnation(NoticeRecord& aRecord, const std::string& aId, std::int64_t aBornMs)
+SetIncarnation(NoticeRecord& aRecord, const std::string& aId, std::optional<std::int64_t> aBornMs)
 {
   StatedNotice& stated = aRecord.m_stated;
   // After a health check the start time is not known until the first report. What was recalled
   // meanwhile may be of an earlier incarnation with the same id.
-  const bool completed = stated.m_bornMs == 0 && aRecord.m_heard;
+  const bool completed = !stated.m_bornMs && aRecord.m_heard;
   if (aId != stated.m_id || (aBornMs != stated.m_bornMs && !completed)) {
     aRecord = {};
   }
@@ -43,7 +43,7 @@
 {
   const StatedNotice& stated = aRecord.m_stated;
   const bool same = !stated.m_id.empty() && aRemembered.m_id == stated.m_id &&
-                    (aRemembered.m_bornMs == stated.m_bornMs || stated.m_bornMs == 0);
+                    (aRemembered.m_bornMs == stated.m_bornMs || !stated.m_bornMs);
   if (aRecord.m_heard || !same || aRemembered.m_notice == stated.m_notice) {
     return false;
   }
--- a/modules/routing/src/TargetRecord.cpp
+++ b/modules/routing/src/TargetRecord.cpp
@@ -1,14 +1,13 @@
 #include "TargetRecord.h"
 
+#include <algorithm>
+
 namespace sequoiastep::routing {
 
 namespace {
 
-bool
-IsSameIncarnation(const TargetReport& aLeft, const TargetReport& aRight)
-{
-  return aLeft.m_id == aRight.m_id && aLeft.m_bornMs == aRight.m_bornMs;
-}
+// More than a host's targets that can leave while late reports of them may come.
+constexpr std::size_t kMaxDepartures = 8;
 
 bool
 IsSameState(const TargetReport& aLeft, const TargetReport& aRight)
@@ -18,18 +17,35 @@
          (aLeft.m_warmUpMs == 0) == (aRight.m_warmUpMs == 0);
 }
 
-// Without the start time of the incarnation that left, reports under its id are its late ones for a
-// while, but for the first report of an incarnation.
+// An id whose start time is not known on one side is taken for the same incarnation.
 bool
-HasLeft(const TargetRecord& aRecord, const TargetReport& aReport, Instant aNow)
+IsSameIncarnation(const TargetReport& aLeft, const TargetReport& aRight)
 {
-  if (aRecord.m_leftId.empty() || aReport.m_id != aRecord.m_leftId) {
+  const bool bothKnown = aLeft.m_bornMs && aRight.m_bornMs;
+  return aLeft.m_id == aRight.m_id && (!bothKnown || aLeft.m_bornMs == aRight.m_bornMs);
+}
+
+// Without the start times of both, reports under the id of a target that left are its late ones for
+// a while, but for the first report of an incarnation.
+bool
+IsOfDeparted(const RecordedDeparture& aLeft, const TargetReport& aReport, Instant aNow)
+{
+  if (aReport.m_id != aLeft.m_departure.m_id) {
     return false;
   }
-  if (aRecord.m_leftBornMs) {
-    return aReport.m_bornMs <= *aRecord.m_leftBornMs;
+  if (aLeft.m_departure.m_bornMs && aReport.m_bornMs) {
+    return *aReport.m_bornMs <= *aLeft.m_departure.m_bornMs;
   }
-  return aReport.m_sequence > 1 && aNow - aRecord.m_leftAt < kLateReportMs;
+  return aReport.m_sequence != 1 && aNow - aLeft.m_at < kLateReportMs;
+}
+
+bool
+HasLeft(const TargetRecord& aRecord, const TargetReport& aReport, Instant aNow)
+{
+  return std::any_of(
+    aRecord.m_departures.begin(), aRecord.m_departures.end(), [&](const RecordedDeparture& aLeft) {
+      return IsOfDeparted(aLeft, aReport, aNow);
+    });
 }
 
 // Start times come from clocks that may jump, so a silent target is replaced by another id in any
@@ -38,11 +54,38 @@
 Replaces(const TargetRecord& aRecord, const TargetReport& aReport, Instant aNow)
 {
   const TargetReport& newest = *aRecord.m_newest;
-  if (aReport.m_bornMs != newest.m_bornMs) {
-    const bool silent = aNow - aRecord.m_heardAt >= kSilentTargetMs;
-    return aReport.m_bornMs > newest.m_bornMs || (silent && aReport.m_id != newest.m_id);
+  const bool otherId = aReport.m_id != newest.m_id;
+  if (otherId && aNow - aRecord.m_heardAt >= kSilentTargetMs) {
+    return true;
+  }
+  if (newest.m_bornMs && aReport.m_bornMs) {
+    return *aReport.m_bornMs > *newest.m_bornMs || (otherId && aReport.m_bornMs == newest.m_bornMs);
   }
-  return aReport.m_id != newest.m_id;
+  return otherId && !newest.m_bornMs;
+}
+
+void
+AddDeparture(TargetRecord& aRecord, const Departure& aDeparture, Instant aNow)
+{
+  std::vector<RecordedDeparture>& departures = aRecord.m_departures;
+  std::erase_if(departures, [&](const RecordedDeparture& aKnown) {
+    return aKnown.m_departure.m_id == aDeparture.m_id &&
+           (!aKnown.m_departure.m_bornMs || aKnown.m_departure.m_bornMs == aDeparture.m_bornMs);
+  });
+  departures.push_back({ .m_departure = aDeparture, .m_at = aNow });
+  if (departures.size() > kMaxDepartures) {
+    departures.erase(departures.begin());
+  }
+}
+
+// Once a report under the id is accepted, departures without a start time are of earlier
+// incarnations, whose reports its own start time outdates.
+void
+ForgetUndated(TargetRecord& aRecord, const std::string& aId)
+{
+  std::erase_if(aRecord.m_departures, [&](const RecordedDeparture& aLeft) {
+    return aLeft.m_departure.m_id == aId && !aLeft.m_departure.m_bornMs;
+  });
 }
 
 } // namespace
@@ -54,42 +97,42 @@
     return ReportOutcome::Outdated;
   }
   if (aRecord.m_newest && IsSameIncarnation(*aRecord.m_newest, aReport)) {
-    if (aReport.m_sequence <= aRecord.m_newest->m_sequence) {
+    const bool completed = !aRecord.m_newest->m_bornMs && aReport.m_bornMs;
+    if (!completed && aReport.m_sequence <= aRecord.m_newest->m_sequence) {
       return ReportOutcome::Outdated;
     }
+    ForgetUndated(aRecord, aReport.m_id);
     const bool same = IsSameState(*aRecord.m_newest, aReport);
+    const std::optional<std::int64_t> knownBornMs = aRecord.m_newest->m_bornMs;
     aRecord.m_newest = aReport;
+    aRecord.m_newest->m_bornMs = aReport.m_bornMs ? aReport.m_bornMs : knownBornMs;
     aRecord.m_heardAt = aNow;
-    return same ? ReportOutcome::Same : ReportOutcome::Changed;
+    return same && !completed ? ReportOutcome::Same : ReportOutcome::Changed;
   }
   if (aRecord.m_newest && !Replaces(aRecord, aReport, aNow)) {
     return ReportOutcome::Outdated;
   }
-  if (!aRecord.m_leftBornMs) {
-    aRecord.m_leftId.clear();
-  }
+  ForgetUndated(aRecord, aReport.m_id);
   aRecord.m_newest = aReport;
   aRecord.m_heardAt = aNow;
   return ReportOutcome::NewTarget;
 }
 
 bool
-RecordLeave(TargetRecord& aRecord,
-            const std::string& aId,
-            std::optional<std::int64_t> aBornMs,
-            Instant aNow)
+RecordLeave(TargetRecord& aRecord, const Departure& aDeparture, Instant aNow)
 {
-  const bool known = aRecord.m_newest && aRecord.m_newest->m_id == aId &&
-                     aBornMs.value_or(aRecord.m_newest->m_bornMs) >= aRecord.m_newest->m_bornMs;
+  TargetReport* const newest = aRecord.m_newest ? &*aRecord.m_newest : nullptr;
+  const bool bothKnown = newest != nullptr && newest->m_bornMs && aDeparture.m_bornMs;
+  const bool known = newest != nullptr && newest->m_id == aDeparture.m_id &&
+                     (!bothKnown || *aDeparture.m_bornMs >= *newest->m_bornMs);
+  Departure departure = aDeparture;
   if (known) {
-    aRecord.m_newest->m_leaving = true;
-    aBornMs = aRecord.m_newest->m_bornMs;
-  }
-  if (known || !aRecord.m_newest) {
-    aRecord.m_leftId = aId;
-    aRecord.m_leftBornMs = aBornMs;
-    aRecord.m_leftAt = aNow;
+    newest->m_leaving = true;
+    // What the target states counts, since the record may not know the start time.
+    departure.m_bornMs = departure.m_bornMs ? departure.m_bornMs : newest->m_bornMs;
+    newest->m_bornMs = departure.m_bornMs;
   }
+  AddDeparture(aRecord, departure, aNow);
   return known;
 }
 
--- a/modules/routing/tests/TargetNoticeTest.cpp
+++ b/modules/routing/tests/TargetNoticeTest.cpp
@@ -11,7 +11,7 @@
 constexpr TargetNotice kLeaving{ .m_leaving = true };
 
 NoticeRecord
-RecordOf(const char* aId, std::int64_t aBornMs)
+RecordOf(const char* aId, std::optional<std::int64_t> aBornMs)
 {
   NoticeRecord record;
   SetIncarnation(record, aId, aBornMs);
@@ -68,12 +68,12 @@
 TEST_CASE("what is recalled before the start time is known must match it later")
 {
   const StatedNotice remembered{ .m_id = "a", .m_bornMs = 100, .m_notice = kLeaving };
-  NoticeRecord probed = RecordOf("a", 0);
+  NoticeRecord probed = RecordOf("a", std::nullopt);
   CHECK(Recall(probed, remembered));
   SetIncarnation(probed, "a", 200);
   CHECK_FALSE(probed.m_stated.m_notice.m_leaving);
   CHECK_FALSE(Recall(probed, remembered));
-  NoticeRecord heard = RecordOf("a", 0);
+  NoticeRecord heard = RecordOf("a", std::nullopt);
   ApplyResponse(heard, kLeaving);
   SetIncarnation(heard, "a", 200);
   CHECK(heard.m_stated.m_notice.m_leaving);
--- a/modules/routing/tests/TargetRecordTest.cpp
+++ b/modules/routing/tests/TargetRecordTest.cpp
@@ -10,7 +10,10 @@
 constexpr Instant kNow{ 1'000'000 };
 
 TargetReport
-Report(const char* aId, std::int64_t aBornMs, std::uint64_t aSequence, bool aLeaving = false)
+Report(const char* aId,
+       std::optional<std::int64_t> aBornMs,
+       std::uint64_t aSequence,
+       bool aLeaving = false)
 {
   return { .m_id = aId,
            .m_bornMs = aBornMs,
@@ -21,6 +24,19 @@
            .m_leaving = aLeaving };
 }
 
+// What a health check finds: neither start time nor sequence.
+TargetReport
+Probed(const char* aId)
+{
+  return Report(aId, std::nullopt, 0);
+}
+
+Departure
+Left(const char* aId, std::optional<std::int64_t> aBornMs = std::nullopt)
+{
+  return { .m_id = aId, .m_bornMs = aBornMs };
+}
+
 } // namespace
 
 TEST_CASE("out-of-order reports of an incarnation are ignored")
@@ -57,9 +73,9 @@
 {
   TargetRecord record;
   ApplyReport(record, Report("a", 100, 1), kNow);
-  CHECK_FALSE(RecordLeave(record, "b", std::nullopt, kNow));
+  CHECK_FALSE(RecordLeave(record, Left("b"), kNow));
   CHECK_FALSE(record.m_newest->m_leaving);
-  CHECK(RecordLeave(record, "a", std::nullopt, kNow));
+  CHECK(RecordLeave(record, Left("a"), kNow));
   CHECK(record.m_newest->m_leaving);
   CHECK(ApplyReport(record, Report("a", 100, 2), kNow) == ReportOutcome::Outdated);
   CHECK(record.m_newest->m_leaving);
@@ -71,7 +87,7 @@
 {
   TargetRecord record;
   // The node has just started and knows no start time; the target's leave states none.
-  CHECK_FALSE(RecordLeave(record, "a", std::nullopt, kNow));
+  CHECK_FALSE(RecordLeave(record, Left("a"), kNow));
   CHECK(ApplyReport(record, Report("a", 100, 13), kNow + 2300) == ReportOutcome::Outdated);
   CHECK_FALSE(record.m_newest);
   // Another target, and a new incarnation under the same id, are accepted at once.
@@ -87,7 +103,56 @@
 TEST_CASE("a leave that states its start time is kept by a node that knows no target")
 {
   TargetRecord record;
-  CHECK_FALSE(RecordLeave(record, "a", 100, kNow));
+  CHECK_FALSE(RecordLeave(record, Left("a", 100), kNow));
   CHECK(ApplyReport(record, Report("a", 100, 13), kNow + 60'000) == ReportOutcome::Outdated);
   CHECK(ApplyReport(record, Report("a", 101, 1), kNow) == ReportOutcome::NewTarget);
 }
+
+// Guards against work that is lost at a target that left: its node knew it from a health check
+// only, and took the unknown start time for an earlier one than that of a late report.
+TEST_CASE("a late report does not bring back a target that was known from a health check and left")
+{
+  TargetRecord record;
+  CHECK(ApplyReport(record, Probed("a"), kNow) == ReportOutcome::NewTarget);
+  SUBCASE("its leave states the start time")
+  {
+    CHECK(RecordLeave(record, Left("a", 100), kNow));
+    CHECK(ApplyReport(record, Report("a", 100, 13), kNow + 60'000) == ReportOutcome::Outdated);
+    CHECK(record.m_newest->m_leaving);
+    CHECK(ApplyReport(record, Report("a", 101, 1), kNow + 60'000) == ReportOutcome::NewTarget);
+  }
+  SUBCASE("its leave states none")
+  {
+    CHECK(RecordLeave(record, Left("a"), kNow));
+    CHECK(ApplyReport(record, Report("a", 100, 13), kNow + 2500) == ReportOutcome::Outdated);
+    CHECK(record.m_newest->m_leaving);
+    CHECK(ApplyReport(record, Report("a", 200, 1), kNow + 2600) != ReportOutcome::Outdated);
+  }
+}
+
+TEST_CASE("the first report after a health check completes what is known of the target")
+{
+  TargetRecord record;
+  ApplyReport(record, Probed("a"), kNow);
+  CHECK(ApplyReport(record, Report("a", 100, 13), kNow) == ReportOutcome::Changed);
+  CHECK(record.m_newest->m_bornMs == 100);
+  CHECK(ApplyReport(record, Report("a", 100, 12), kNow) == ReportOutcome::Outdated);
+  // A report without a start time is ordered by its sequence and takes no knowledge away.
+  CHECK(ApplyReport(record, Report("a", std::nullopt, 14), kNow) == ReportOutcome::Same);
+  CHECK(record.m_newest->m_bornMs == 100);
+}
+
+TEST_CASE("a leave is kept for an incarnation that has not reported yet, and for each that left")
+{
+  TargetRecord record;
+  ApplyReport(record, Report("a", 100, 5), kNow);
+  CHECK_FALSE(RecordLeave(record, Left("b", 300), kNow));
+  CHECK_FALSE(record.m_newest->m_leaving);
+  CHECK(ApplyReport(record, Report("b", 300, 2), kNow) == ReportOutcome::Outdated);
+  CHECK(RecordLeave(record, Left("a", 100), kNow));
+  CHECK(ApplyReport(record, Report("c", 400, 1), kNow) == ReportOutcome::NewTarget);
+  // The target that came last is silent, so that any other id would replace it.
+  for (const TargetReport& late : { Report("a", 100, 6), Report("b", 300, 3) }) {
+    CHECK(ApplyReport(record, late, kNow + kSilentTargetMs) == ReportOutcome::Outdated);
+  }
+}
