--- a/modules/distribution/include/Controller.h
+++ b/modules/distribution/include/Controller.h
@@ -188,6 +188,14 @@
   std::string m_lastFailure;
 };
 
+/// A departure that no peer has confirmed to hold yet.
+struct PendingDeparture
+{
+  std::uint64_t m_request = 0;
+  /// Peers echo it in a heartbeat that follows the departure on the link.
+  std::uint64_t m_nonce = 0;
+};
+
 /// State of one node's controller.
 struct Controller
 {
@@ -250,6 +258,7 @@
   Instant m_nextGoneCheck;
 
   std::vector<PendingPublish> m_pendingPublishes;
+  std::vector<PendingDeparture> m_pendingDepartures;
   /// Changed members, by node, and new accusations, which FlushMembers sends to the peers.
   std::map<std::string, membership::Member, std::less<>> m_memberOutbox;
   std::vector<wire::AccusationT> m_accusationOutbox;
--- a/modules/distribution/include/Events.h
+++ b/modules/distribution/include/Events.h
@@ -138,6 +138,14 @@
   std::optional<double> m_perSecond;
 };
 
+/// A target of this host leaves. Answered by DepartureKept with the same request number once a peer
+/// holds the departure; it then outlives this process.
+struct DepartureRecorded
+{
+  std::uint64_t m_request = 0;
+  Departure m_departure;
+};
+
 /// This node applied a newer version of the operator's record, read from the store or sent by a
 /// peer.
 struct OperatorRecordApplied
@@ -186,6 +194,7 @@
                            PublicationAppended,
                            PublishRequested,
                            TargetChanged,
+                           DepartureRecorded,
                            OperatorRecordApplied,
                            StoreAnswered,
                            VersionWanted,
@@ -280,6 +289,24 @@
   bool m_ready = false;
 };
 
+/// A peer holds a departure that DepartureRecorded named.
+struct DepartureKept
+{
+  std::uint64_t m_request = 0;
+  /// The peer that confirmed it.
+  std::string m_node;
+};
+
+/// A peer sent what it holds of this node's own entry.
+struct OwnEntryRecalled
+{
+  /// Targets of this host that left.
+  std::vector<Departure> m_departures;
+  /// The entry is of an earlier process of this node, so that the peer remembers what that one
+  /// acknowledged.
+  bool m_ofPredecessor = false;
+};
+
 using Action = std::variant<OpenLink,
                             CloseLink,
                             SendMessage,
@@ -293,7 +320,9 @@
                             AnswerPublish,
                             InstallSnapshot,
                             MembersChanged,
-                            ReadinessChanged>;
+                            ReadinessChanged,
+                            DepartureKept,
+                            OwnEntryRecalled>;
 
 using Actions = std::vector<Action>;
 
--- a/modules/distribution/src/Controller.cpp
+++ b/modules/distribution/src/Controller.cpp
@@ -130,6 +130,7 @@
   }
   void operator()(const PublishRequested& aEvent) { HandlePublishRequested(m_context, aEvent); }
   void operator()(const TargetChanged& aEvent) { HandleTargetChanged(m_context, aEvent); }
+  void operator()(const DepartureRecorded& aEvent) { HandleDepartureRecorded(m_context, aEvent); }
   void operator()(const OperatorRecordApplied& aEvent)
   {
     HandleOperatorRecordApplied(m_context, aEvent);
--- a/modules/distribution/src/ControllerHeartbeat.cpp
+++ b/modules/distribution/src/ControllerHeartbeat.cpp
@@ -210,6 +210,7 @@
     controller.m_minReadyPosition = std::max(controller.m_minReadyPosition, aHeartbeat.applied);
     controller.m_pauseCheckPending = false;
   }
+  HandleDepartureEcho(aContext, aNode, aHeartbeat.echo);
   MergeSummaries(aContext, link, aHeartbeat);
   CompareMemberDigest(aContext, aNode, aHeartbeat.member_digest);
   PullIfBehind(aContext, aNode);
--- a/modules/distribution/src/ControllerLinks.cpp
+++ b/modules/distribution/src/ControllerLinks.cpp
@@ -242,12 +242,13 @@
     aOpened.m_outbound || controller.m_table.m_members.size() <= kMaxUnsolicitedMembers;
   if (peerNotLive && sendsList && controller.m_phase == JoinPhase::Joined) {
     SendAllMembers(aContext, aOpened.m_node);
-    return;
+  } else {
+    wire::MemberUpdateT update;
+    update.entries.push_back(
+      std::make_unique<wire::MemberEntryT>(membership::ToWire(Self(controller))));
+    SendTo(aContext, aOpened.m_node, MakeSharedMessage(std::move(update)));
   }
-  wire::MemberUpdateT update;
-  update.entries.push_back(
-    std::make_unique<wire::MemberEntryT>(membership::ToWire(Self(controller))));
-  SendTo(aContext, aOpened.m_node, MakeSharedMessage(std::move(update)));
+  RequestDepartureEchoes(aContext, aOpened.m_node);
 }
 
 void
--- a/modules/distribution/src/ControllerMembers.cpp
+++ b/modules/distribution/src/ControllerMembers.cpp
@@ -88,6 +88,26 @@
   controller.m_memberOutbox.insert_or_assign(aMember.m_node, aMember);
 }
 
+namespace {
+
+// Takes up what peers remember of this node's entry: the process before may have acknowledged that
+// targets leave.
+void
+RecallOwnEntry(StepContext& aContext, const Member& aEntry)
+{
+  const Controller& controller = aContext.m_controller;
+  if (aEntry.m_node != controller.m_table.m_self) {
+    return;
+  }
+  const bool ofPredecessor = aEntry.m_incarnation != Self(controller).m_incarnation;
+  if (ofPredecessor || !aEntry.m_departures.empty()) {
+    aContext.m_actions.emplace_back(
+      OwnEntryRecalled{ .m_departures = aEntry.m_departures, .m_ofPredecessor = ofPredecessor });
+  }
+}
+
+} // namespace
+
 void
 AnnounceSelf(StepContext& aContext, const Member& aEntry)
 {
@@ -105,9 +125,10 @@
   std::vector<const Member*> newer;
   for (const auto& wireEntry : aUpdate.entries) {
     const Member entry = membership::FromWire(*wireEntry);
+    RecallOwnEntry(aContext, entry);
     switch (membership::MergeMember(controller.m_table, entry, aContext.m_now)) {
       case MergeResult::Changed:
-        QueueMemberChange(aContext, entry);
+        QueueMemberChange(aContext, *FindMember(controller, entry.m_node));
         LogMemberChange(entry, aNode);
         break;
       case MergeResult::Refuted:
--- a/modules/distribution/src/ControllerPriv.h
+++ b/modules/distribution/src/ControllerPriv.h
@@ -161,6 +161,18 @@
 QueueMemberChange(StepContext& aContext, const membership::Member& aMember);
 void
 TickMembers(StepContext& aContext);
+
+// ControllerDepartures.cpp
+void
+HandleDepartureRecorded(StepContext& aContext, const DepartureRecorded& aRecorded);
+/// Asks a peer, whose link was opened, to confirm the departures that no peer has confirmed yet.
+void
+RequestDepartureEchoes(StepContext& aContext, std::string_view aNode);
+/// Handles a heartbeat of aNode that echoes a nonce.
+void
+HandleDepartureEcho(StepContext& aContext, std::string_view aNode, std::uint64_t aNonce);
+
+// ControllerMembers.cpp
 void
 FlushMembers(StepContext& aContext);
 void
--- a/modules/membership/include/Members.h
+++ b/modules/membership/include/Members.h
@@ -7,6 +7,7 @@
 #pragma once
 
 #include "Clock.h"
+#include "Departure.h"
 #include "Messages_generated.h"
 
 #include <array>
@@ -50,6 +51,9 @@
   /// Requests per second that the target accepts from all nodes together; none if it named no
   /// limit.
   std::optional<double> m_perSecond;
+  /// Targets of the host that left. They outlive the process that acknowledged them: versions of
+  /// the entry are merged in this, whichever overrides the other.
+  std::vector<Departure> m_departures;
 };
 
 /// A member's entry and when this node saw it change.
@@ -80,8 +84,8 @@
   Known,
   /// The table holds a newer entry, which should be sent back to the sender.
   Older,
-  /// The entry was about this node and overrode its own; the table now holds this node's entry with
-  /// a higher counter, to be passed on as a refutation.
+  /// The entry was about this node and overrode its own or named departures that its own lacked;
+  /// the table now holds this node's entry with a higher counter, to be passed on as a refutation.
   Refuted,
 };
 
--- a/modules/membership/src/Members.cpp
+++ b/modules/membership/src/Members.cpp
@@ -19,11 +19,17 @@
   { MemberState::Gone, "gone" },
 } };
 
+// On the wire 0 stands for a start time that is not known.
+constexpr std::int64_t kUnknownBornMs = 0;
+
 std::uint64_t
 EntryDigest(const Member& aMember)
 {
   std::uint64_t digest = Hash64(aMember.m_node, aMember.m_incarnation);
   digest ^= (std::uint64_t{ aMember.m_counter } << 8) | static_cast<std::uint8_t>(aMember.m_state);
+  for (const Departure& departure : aMember.m_departures) {
+    digest ^= Hash64(departure.m_id, static_cast<std::uint64_t>(departure.m_bornMs.value_or(0)));
+  }
   return Hash64({ reinterpret_cast<const char*>(&digest), sizeof digest });
 }
 
@@ -38,6 +44,7 @@
       before.m_incarnation == aEntry.m_incarnation && before.m_service == aEntry.m_service;
     record.m_upSince = sameTarget ? old->second.m_upSince : aNow;
     record.m_stateSince = before.m_state == aEntry.m_state ? old->second.m_stateSince : aNow;
+    MergeDepartures(record.m_member.m_departures, before.m_departures);
   }
   aTable.m_members[aEntry.m_node] = std::move(record);
 }
@@ -69,10 +76,11 @@
   const auto known = aTable.m_members.find(aEntry.m_node);
   if (aEntry.m_node == aTable.m_self && known != aTable.m_members.end()) {
     Member self = known->second.m_member;
-    if (!Overrides(aEntry, self)) {
+    const bool departed = MergeDepartures(self.m_departures, aEntry.m_departures);
+    if (!departed && !Overrides(aEntry, self)) {
       return Overrides(self, aEntry) ? MergeResult::Older : MergeResult::Known;
     }
-    self.m_counter = aEntry.m_counter;
+    self.m_counter = std::max(self.m_counter, aEntry.m_counter);
     UpdateSelf(aTable, self, aNow);
     return MergeResult::Refuted;
   }
@@ -84,6 +92,9 @@
     Store(aTable, aEntry, aNow);
     return MergeResult::Changed;
   }
+  if (MergeDepartures(known->second.m_member.m_departures, aEntry.m_departures)) {
+    return MergeResult::Changed;
+  }
   return Overrides(known->second.m_member, aEntry) ? MergeResult::Older : MergeResult::Known;
 }
 
@@ -153,12 +164,24 @@
   entry.slots = aMember.m_slots;
   entry.warm_up_ms = aMember.m_warmUpMs;
   entry.per_second = wire::EncodeLimit(aMember.m_perSecond);
+  for (const Departure& departure : aMember.m_departures) {
+    auto left = std::make_unique<wire::DepartureT>();
+    left->id = departure.m_id;
+    left->born_ms = departure.m_bornMs.value_or(kUnknownBornMs);
+    entry.departures.push_back(std::move(left));
+  }
   return entry;
 }
 
 Member
 FromWire(const wire::MemberEntryT& aEntry)
 {
+  std::vector<Departure> departures;
+  for (const auto& left : aEntry.departures) {
+    const bool known = left->born_ms != kUnknownBornMs;
+    departures.push_back(
+      { .m_id = left->id, .m_bornMs = known ? std::optional(left->born_ms) : std::nullopt });
+  }
   return { .m_node = aEntry.node,
            .m_incarnation = aEntry.incarnation,
            .m_counter = aEntry.counter,
@@ -169,7 +192,8 @@
            .m_service = aEntry.service,
            .m_slots = aEntry.slots,
            .m_warmUpMs = aEntry.warm_up_ms,
-           .m_perSecond = wire::DecodeLimit(aEntry.per_second) };
+           .m_perSecond = wire::DecodeLimit(aEntry.per_second),
+           .m_departures = std::move(departures) };
 }
 
 } // namespace sequoiastep::membership
--- a/modules/node/src/CallProxy.cpp
+++ b/modules/node/src/CallProxy.cpp
@@ -31,6 +31,9 @@
 constexpr Milliseconds kBusyTickMs = 20;
 constexpr Milliseconds kTickMs = 100;
 constexpr Milliseconds kProbeTimeoutMs = 1000;
+// Health checks while a report of the target waits for confirmation, and the pause between them.
+constexpr int kMaxProbes = 3;
+constexpr Milliseconds kProbePauseMs = 400;
 // Assumed slots of a target whose service has no other known target; deliberately low.
 constexpr std::uint16_t kDefaultSlots = 2;
 constexpr Milliseconds kHoldPollMs = 5;
@@ -57,14 +60,14 @@
   , m_random{ EntropySeed() }
   , m_runner(aContext, aShared, m_metrics)
   , m_bodies(aContext, { .m_bytesPerMs = aSettings.m_linkMbps * kBytesPerMsPerMbps })
-  , m_targetApi([this](const std::optional<routing::TargetReport>& aTarget) {
-    if (aTarget) {
-      m_runner.SetTarget(*aTarget);
-    } else {
-      m_runner.RemoveTarget();
-    }
-    AnnounceTarget();
-  })
+  , m_targetApi(aContext,
+                { .m_onChange = [this](const auto& aTarget) { UseTarget(aTarget); },
+                  .m_keepDeparture =
+                    [this](std::uint64_t aRequest, const Departure& aDeparture) {
+                      m_notifyControl(distribution::DepartureRecorded{ .m_request = aRequest,
+                                                                       .m_departure = aDeparture });
+                    },
+                  .m_probe = [this] { asio::co_spawn(m_context, ProbeTarget(), asio::detached); } })
   , m_links(aContext, aIdentity, aShared)
   , m_keyedCalls(aContext,
                  aIdentity.m_node,
@@ -116,12 +119,21 @@
     .Add("role", "target")
     .Add("address", net::AddressText(targetEndpoint));
   asio::co_spawn(m_context, TickLoop(), asio::detached);
-  if (!m_settings.m_targetAddress.empty()) {
-    asio::co_spawn(m_context, ProbeTarget(), asio::detached);
-  }
+  asio::co_spawn(m_context, ProbeTarget(), asio::detached);
   return {};
 }
 
+void
+CallProxy::UseTarget(const std::optional<routing::TargetReport>& aTarget)
+{
+  if (aTarget) {
+    m_runner.SetTarget(*aTarget);
+  } else {
+    m_runner.RemoveTarget();
+  }
+  AnnounceTarget();
+}
+
 // Tells all nodes the state of the target beside this one.
 void
 CallProxy::AnnounceTarget()
@@ -179,43 +191,84 @@
 }
 
 // If only the node restarted, its target is still running. One health check identifies it before
-// its next heartbeat.
+// its next heartbeat; more are made while a report waits for confirmation.
 Awaitable<void>
 CallProxy::ProbeTarget()
 {
-  const std::string& service = m_settings.m_targetService;
-  std::string path;
-  while (path.empty() && m_targetApi.HasNoReport() && !m_stopped) {
-    asio::steady_timer timer(m_context, std::chrono::milliseconds(kTickMs));
+  if (m_probing || m_settings.m_targetAddress.empty()) {
+    co_return;
+  }
+  m_probing = true;
+  const std::string path = co_await AwaitHealthPath();
+  for (int probes = 0; probes < kMaxProbes && !path.empty() && m_targetApi.NeedsProbe(); ++probes) {
+    const bool healthy = co_await ProbeOnce(path);
+    if (healthy || !m_targetApi.HoldsReport()) {
+      break;
+    }
+    asio::steady_timer timer(m_context, std::chrono::milliseconds(kProbePauseMs));
     co_await timer.async_wait(kAsTuple);
+  }
+  m_probing = false;
+}
+
+// Returns the path of the target's health check once it is configured; empty if no check is needed
+// any more.
+Awaitable<std::string>
+CallProxy::AwaitHealthPath()
+{
+  while (m_targetApi.NeedsProbe() && !m_stopped) {
     if (const auto snapshot = m_shared.m_snapshot.load()) {
-      const auto found = snapshot->m_effective->m_services.find(service);
-      path = found == snapshot->m_effective->m_services.end() ? "" : found->second.m_healthPath;
+      const auto& services = snapshot->m_effective->m_services;
+      const auto found = services.find(m_settings.m_targetService);
+      if (found != services.end() && !found->second.m_healthPath.empty()) {
+        co_return found->second.m_healthPath;
+      }
     }
+    asio::steady_timer timer(m_context, std::chrono::milliseconds(kTickMs));
+    co_await timer.async_wait(kAsTuple);
   }
-  if (path.empty() || !m_targetApi.HasNoReport()) {
-    co_return;
-  }
+  co_return std::string();
+}
+
+// Returns true if the target is healthy and does not leave.
+Awaitable<bool>
+CallProxy::ProbeOnce(std::string aPath)
+{
   net::HttpClientOptions options;
   options.m_endpoint = Handle([&] { return net::ParseAddress(m_settings.m_targetAddress); },
                               [](const Error&) { return net::tcp::endpoint(); });
   net::HttpClient client(m_context, options);
-  HttpRequest request(http::verb::get, path, 11);
+  HttpRequest request(http::verb::get, aPath, 11);
   request.set(http::field::host, m_settings.m_targetAddress);
   const net::HttpResult result = co_await client.Send(std::move(request), kProbeTimeoutMs);
   if (!result.m_response || result.m_response->result() != http::status::ok) {
-    co_return;
+    LogLine(LogLevel::Info, "target_probe_failed")
+      .Add("status", result.m_response ? result.m_response->result_int() : 0)
+      .Add("reason", result.m_reason);
+    co_return false;
   }
   const std::string id(std::string_view((*result.m_response)[adapter::kTargetId]));
-  LogLine(LogLevel::Info, "target_probed").Add("target", id).Add("service", service);
   if (!id.empty()) {
     m_targetApi.HandleProbe({ .m_id = id,
-                              .m_service = service,
+                              .m_service = m_settings.m_targetService,
                               .m_address = m_settings.m_targetAddress,
-                              .m_slots = MinSlotsOfService(service) });
+                              .m_slots = MinSlotsOfService(m_settings.m_targetService) });
     m_runner.RecallNotice({ .m_id = id, .m_notice = adapter::DecodeNotice(*result.m_response) },
                           "health_check");
   }
+  co_return true;
+}
+
+void
+CallProxy::HandleDepartureKept(const distribution::DepartureKept& aKept)
+{
+  m_targetApi.HandleDepartureKept(aKept.m_request, aKept.m_node);
+}
+
+void
+CallProxy::HandleOwnEntryRecalled(const distribution::OwnEntryRecalled& aRecalled)
+{
+  m_targetApi.RecallDepartures(aRecalled.m_departures, aRecalled.m_ofPredecessor);
 }
 
 // Limits for callers come from the configuration if it has any, else from the node's settings.
--- a/modules/node/src/CallProxy.h
+++ b/modules/node/src/CallProxy.h
@@ -89,6 +89,10 @@
   StopDebts Debts() const;
   /// Last step of a stop: closes all connections.
   void Stop();
+  /// Another node holds a departure of the target beside this node.
+  void HandleDepartureKept(const distribution::DepartureKept& aKept);
+  /// Another node sent what it remembers of this one.
+  void HandleOwnEntryRecalled(const distribution::OwnEntryRecalled& aRecalled);
   /// @return the metrics of the calls thread as Prometheus text.
   std::string MetricsText() const;
 
@@ -147,7 +151,10 @@
   void CountOutcome(wire::CallOutcome aOutcome);
   net::Awaitable<void> TickLoop();
   net::Awaitable<void> ProbeTarget();
+  net::Awaitable<std::string> AwaitHealthPath();
+  net::Awaitable<bool> ProbeOnce(std::string aPath);
   void AnnounceTarget();
+  void UseTarget(const std::optional<routing::TargetReport>& aTarget);
   std::uint16_t MinSlotsOfService(const std::string& aService) const;
   std::size_t UndeliveredBytes() const;
 
@@ -183,6 +190,8 @@
   std::uint32_t m_callerRequests = 0;
   /// Calls of other nodes in progress.
   std::uint32_t m_inboundCalls = 0;
+  /// ProbeTarget is running.
+  bool m_probing = false;
   bool m_stopped = false;
 };
 
--- a/modules/node/src/ControlPlane.cpp
+++ b/modules/node/src/ControlPlane.cpp
@@ -238,6 +238,14 @@
     }
     LogLine(LogLevel::Info, "readiness").Add("ready", aAction.m_ready ? "yes" : "no");
   }
+  void operator()(const distribution::DepartureKept& aAction) const
+  {
+    m_controlPlane.m_targetHooks.m_departureKept(aAction);
+  }
+  void operator()(const distribution::OwnEntryRecalled& aAction) const
+  {
+    m_controlPlane.m_targetHooks.m_ownEntryRecalled(aAction);
+  }
 };
 
 ControlPlane::ControlPlane(asio::io_context& aContext,
@@ -310,8 +318,9 @@
 }
 
 void
-ControlPlane::Start(AdminApi::Hooks aHooks)
+ControlPlane::Start(AdminApi::Hooks aHooks, TargetHooks aTargetHooks)
 {
+  m_targetHooks = std::move(aTargetHooks);
   distribution::ControllerOptions options = MakeControllerOptions(m_settings, m_incarnation);
   options.m_address = m_links.Address();
   m_controller = distribution::MakeController(options, Clock::Now());
--- a/modules/node/src/ControlPlane.h
+++ b/modules/node/src/ControlPlane.h
@@ -22,6 +22,15 @@
 
 namespace sequoiastep::node {
 
+/// What the control thread tells the call path about the target beside this node.
+struct TargetHooks
+{
+  /// A peer holds the departure of the request.
+  std::function<void(const distribution::DepartureKept&)> m_departureKept;
+  /// A peer sent what it remembers of this node.
+  std::function<void(const distribution::OwnEntryRecalled&)> m_ownEntryRecalled;
+};
+
 /// Used on the control thread only, except for the constructor, the destructor and Post.
 class ControlPlane
 {
@@ -36,7 +45,7 @@
   /// @return the identity with the bound peer address, or PortInUse.
   Result<Identity> Listen();
   /// Starts the controller; call after Listen.
-  void Start(AdminApi::Hooks aHooks);
+  void Start(AdminApi::Hooks aHooks, TargetHooks aTargetHooks);
   /// Queues an event for the control thread; callable from any thread. If the queue is full, the
   /// event is dropped, counted and logged.
   void Post(distribution::Event aEvent);
@@ -78,6 +87,7 @@
   /// Null if the settings have no metrics address.
   std::unique_ptr<net::HttpServer> m_metricsServer;
   std::optional<distribution::Controller> m_controller;
+  TargetHooks m_targetHooks;
   bool m_stopped = false;
 };
 
--- a/modules/node/src/Node.cpp
+++ b/modules/node/src/Node.cpp
@@ -67,7 +67,8 @@
     BOOST_LEAF_CHECK(m_calls->Listen());
     m_control.Start({ .m_feed = {},
                       .m_callMetrics = [this] { return FetchCallMetrics(); },
-                      .m_drain = [this] { BeginStop(); } });
+                      .m_drain = [this] { BeginStop(); } },
+                    MakeTargetHooks());
     m_calls->SetLogClient(m_control.Log());
     m_stopSignals.async_wait([this](const net::error_code& aError, int) {
       if (!aError) {
@@ -110,6 +111,19 @@
       .Add("problem", problem.empty() ? "none" : problem);
   }
 
+  TargetHooks MakeTargetHooks()
+  {
+    return { .m_departureKept =
+               [this](const distribution::DepartureKept& aKept) {
+                 asio::post(m_callsContext, [this, aKept] { m_calls->HandleDepartureKept(aKept); });
+               },
+             .m_ownEntryRecalled =
+               [this](const distribution::OwnEntryRecalled& aRecalled) {
+                 asio::post(m_callsContext,
+                            [this, aRecalled] { m_calls->HandleOwnEntryRecalled(aRecalled); });
+               } };
+  }
+
   void PassCallSocket(int aDescriptor, wire::HelloT aHello)
   {
     if (!m_callSockets.Post({ .m_descriptor = aDescriptor, .m_hello = std::move(aHello) })) {
--- a/modules/node/src/TargetApi.cpp
+++ b/modules/node/src/TargetApi.cpp
@@ -10,12 +10,14 @@
 
 #include <boost/beast/http/status.hpp>
 #include <boost/beast/http/verb.hpp>
+#include <chrono>
 #include <fmt/core.h>
 
 namespace sequoiastep::node {
 
 namespace http = net::http;
 
+using net::Awaitable;
 using routing::ReportOutcome;
 using routing::TargetReport;
 
@@ -27,6 +29,8 @@
 constexpr config::NumberRule kTtlRule{ .m_default = 3000, .m_min = 100, .m_max = 600'000 };
 // Long, since heartbeats may arrive seconds late. Failing calls reveal a dead target sooner.
 constexpr Milliseconds kHeartbeatTtlMs = 12'000;
+// Targets wait a second for the answer.
+constexpr Milliseconds kMaxKeepMs = 500;
 
 // A parsed announcement of this project's own interface and how long it is valid.
 struct Announcement
@@ -85,6 +89,22 @@
     });
 }
 
+std::string_view
+EventOf(ReportOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case ReportOutcome::Outdated:
+      return "target_report_outdated";
+    case ReportOutcome::Unconfirmed:
+      return "target_report_held";
+    case ReportOutcome::NewTarget:
+    case ReportOutcome::Changed:
+    case ReportOutcome::Same:
+      break;
+  }
+  return "target_announced";
+}
+
 std::string
 BornText(std::optional<std::int64_t> aBornMs)
 {
@@ -99,9 +119,24 @@
 
 } // namespace
 
-TargetApi::TargetApi(OnChange aOnChange)
-  : m_onChange(std::move(aOnChange))
+// A target that waits until another node holds its departure.
+struct TargetApi::KeepWait
 {
+  explicit KeepWait(net::asio::io_context& aContext)
+    : m_timer(aContext, std::chrono::milliseconds(kMaxKeepMs))
+  {
+  }
+
+  net::asio::steady_timer m_timer;
+  /// The node that holds it; empty if none does yet.
+  std::string m_node;
+};
+
+TargetApi::TargetApi(net::asio::io_context& aContext, Hooks aHooks)
+  : m_context(aContext)
+  , m_hooks(std::move(aHooks))
+{
+  m_record.m_startedAt = Clock::Now();
 }
 
 net::HttpResponse
@@ -113,15 +148,14 @@
   return MakeProblem(http::status::bad_request, CallOutcome::NotRun, aProblem);
 }
 
-void
+ReportOutcome
 TargetApi::ApplyReport(const TargetReport& aReport)
 {
   const ReportOutcome outcome = routing::ApplyReport(m_record, aReport, Clock::Now());
   if (outcome == ReportOutcome::Same) {
-    return;
+    return outcome;
   }
-  LogLine(LogLevel::Info,
-          outcome == ReportOutcome::Outdated ? "target_report_outdated" : "target_announced")
+  LogLine(LogLevel::Info, EventOf(outcome))
     .Add("service", aReport.m_service)
     .Add("address", aReport.m_address)
     .Add("target", aReport.m_id)
@@ -129,9 +163,12 @@
     .Add("sequence", aReport.m_sequence)
     .Add("slots", aReport.m_slots)
     .Add("state", aReport.m_leaving ? "draining" : "up");
-  if (outcome != ReportOutcome::Outdated) {
-    m_onChange(m_record.m_newest);
+  if (outcome == ReportOutcome::Unconfirmed) {
+    m_hooks.m_probe();
+  } else if (outcome != ReportOutcome::Outdated) {
+    m_hooks.m_onChange(m_record.m_newest);
   }
+  return outcome;
 }
 
 net::HttpResponse
@@ -149,51 +186,123 @@
   return AcceptedResponse();
 }
 
-net::HttpResponse
-TargetApi::HandleHeartbeat(const std::string& aId, const std::string& aBody)
+Awaitable<net::HttpResponse>
+TargetApi::HandleHeartbeat(std::string aId, std::string aBody)
 {
   std::string problem;
   const auto report =
     ValueOrProblem<TargetReport>([&] { return ParseHeartbeat(aId, aBody); }, problem);
   if (!report) {
-    return Reject(problem);
+    co_return Reject(problem);
   }
   m_ttlMs = kHeartbeatTtlMs;
-  ApplyReport(*report);
-  return AcceptedResponse();
+  const ReportOutcome outcome = ApplyReport(*report);
+  const bool news = outcome == ReportOutcome::NewTarget || outcome == ReportOutcome::Changed;
+  if (report->m_leaving && news) {
+    Departure departure{ .m_id = aId, .m_bornMs = m_record.m_newest->m_bornMs };
+    co_await KeepDeparture(std::move(departure));
+  }
+  co_return AcceptedResponse();
 }
 
-net::HttpResponse
-TargetApi::HandleDeregister(const std::string& aId, const std::string& aBody)
+Awaitable<net::HttpResponse>
+TargetApi::HandleDeregister(std::string aId, std::string aBody)
 {
-  const routing::Departure departure{ .m_id = aId, .m_bornMs = adapter::DecodeBornMs(aBody) };
+  Departure departure{ .m_id = aId, .m_bornMs = adapter::DecodeBornMs(aBody) };
   const bool known = routing::RecordLeave(m_record, departure, Clock::Now());
   LogLine(LogLevel::Info, "target_leaves")
     .Add("target", aId)
     .Add("born_ms", BornText(departure.m_bornMs))
     .Add("known", known ? "yes" : "no");
   if (known) {
-    m_onChange(m_record.m_newest);
+    departure.m_bornMs = m_record.m_newest->m_bornMs;
+    m_hooks.m_onChange(m_record.m_newest);
+  }
+  co_await KeepDeparture(std::move(departure));
+  co_return AcceptedResponse();
+}
+
+// Returns once another node holds the departure, since its acknowledgement must hold even if this
+// process ends. If none confirms in time, the target is answered nevertheless: it would leave
+// without an answer as well, and this process keeps to it.
+Awaitable<void>
+TargetApi::KeepDeparture(Departure aDeparture)
+{
+  const std::uint64_t request = m_nextRequest++;
+  KeepWait wait(m_context);
+  struct RemoveWait
+  {
+    TargetApi& m_api;
+    std::uint64_t m_request;
+    ~RemoveWait() { m_api.m_keepWaits.erase(m_request); }
+  };
+  m_keepWaits.emplace(request, &wait);
+  const RemoveWait removeWait{ .m_api = *this, .m_request = request };
+  const Instant start = Clock::Now();
+  m_hooks.m_keepDeparture(request, aDeparture);
+  co_await wait.m_timer.async_wait(net::kAsTuple);
+  LogLine(wait.m_node.empty() ? LogLevel::Warning : LogLevel::Info, "departure_acknowledged")
+    .Add("target", aDeparture.m_id)
+    .Add("born_ms", BornText(aDeparture.m_bornMs))
+    .Add("held_by", wait.m_node)
+    .Add("waited_ms", Clock::Now() - start);
+}
+
+void
+TargetApi::HandleDepartureKept(std::uint64_t aRequest, const std::string& aNode)
+{
+  const auto found = m_keepWaits.find(aRequest);
+  if (found != m_keepWaits.end()) {
+    found->second->m_node = aNode;
+    found->second->m_timer.cancel();
+  }
+}
+
+void
+TargetApi::RecallDepartures(const std::vector<Departure>& aDepartures, bool aComplete)
+{
+  const bool news = aComplete && !m_record.m_departuresRecalled;
+  const std::size_t before = m_record.m_departures.size();
+  const bool changed = routing::RecallDepartures(m_record, aDepartures, aComplete, Clock::Now());
+  if (changed || news || m_record.m_departures.size() != before) {
+    LogLine(LogLevel::Info, "departures_recalled")
+      .Add("departures", m_record.m_departures.size())
+      .Add("complete", m_record.m_departuresRecalled ? "yes" : "no")
+      .Add("target", m_record.m_newest ? m_record.m_newest->m_id : std::string())
+      .Add("leaving", m_record.m_newest && m_record.m_newest->m_leaving ? "yes" : "no");
+  }
+  if (changed) {
+    m_hooks.m_onChange(m_record.m_newest);
   }
-  return AcceptedResponse();
 }
 
 void
 TargetApi::HandleProbe(const TargetReport& aReport)
 {
-  if (HasNoReport()) {
-    m_ttlMs = kHeartbeatTtlMs;
-    ApplyReport(aReport);
+  m_ttlMs = kHeartbeatTtlMs;
+  const ReportOutcome outcome = routing::ApplyProbe(m_record, aReport, Clock::Now());
+  LogLine(LogLevel::Info, "target_probed")
+    .Add("target", aReport.m_id)
+    .Add("service", aReport.m_service)
+    .Add("used", outcome == ReportOutcome::Outdated ? "no" : "yes");
+  if (outcome != ReportOutcome::Outdated) {
+    m_hooks.m_onChange(m_record.m_newest);
   }
 }
 
 bool
-TargetApi::HasNoReport() const
+TargetApi::NeedsProbe() const
 {
-  return !m_record.m_newest && m_record.m_departures.empty();
+  return !m_record.m_newest && (m_record.m_departures.empty() || m_record.m_unconfirmed);
 }
 
-net::Awaitable<net::HttpResponse>
+bool
+TargetApi::HoldsReport() const
+{
+  return m_record.m_unconfirmed.has_value();
+}
+
+Awaitable<net::HttpResponse>
 TargetApi::Handle(net::HttpRequest aRequest)
 {
   const std::string_view path = net::PathOf(aRequest.target());
@@ -211,8 +320,12 @@
   if (!call) {
     co_return HandleAnnouncement(aRequest.body());
   }
-  co_return call->m_leave ? HandleDeregister(call->m_id, aRequest.body())
-                          : HandleHeartbeat(call->m_id, aRequest.body());
+  if (call->m_leave) {
+    net::HttpResponse left = co_await HandleDeregister(call->m_id, aRequest.body());
+    co_return left;
+  }
+  net::HttpResponse response = co_await HandleHeartbeat(call->m_id, aRequest.body());
+  co_return response;
 }
 
 void
@@ -225,7 +338,7 @@
     .Add("service", m_record.m_newest->m_service)
     .Add("ttl_ms", m_ttlMs);
   m_record.m_newest.reset();
-  m_onChange(m_record.m_newest);
+  m_hooks.m_onChange(m_record.m_newest);
 }
 
 } // namespace sequoiastep::node
--- a/modules/routing/include/TargetRecord.h
+++ b/modules/routing/include/TargetRecord.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "Clock.h"
+#include "Departure.h"
 
 #include <cstdint>
 #include <optional>
@@ -32,15 +33,6 @@
   bool m_leaving = false;
 };
 
-/// The leaving of an incarnation. It is final: later reports of it can't take it back.
-struct Departure
-{
-  /// The target's id.
-  std::string m_id;
-  /// The incarnation's start time; none if it left without stating it.
-  std::optional<std::int64_t> m_bornMs;
-};
-
 /// A departure and when this node learned of it.
 struct RecordedDeparture
 {
@@ -57,6 +49,14 @@
   Instant m_heardAt;
   /// Incarnations that left, oldest first; bounded. Their late reports are ignored.
   std::vector<RecordedDeparture> m_departures;
+  /// When this process started.
+  Instant m_startedAt;
+  /// A node that remembers the process before this one named the departures which that one
+  /// acknowledged.
+  bool m_departuresRecalled = false;
+  /// Latest report that waits for a health check or for another node's memory: it may be a late one
+  /// of a target whose leaving the process before this one acknowledged.
+  std::optional<TargetReport> m_unconfirmed;
 };
 
 /// Result of applying a report.
@@ -70,6 +70,8 @@
   Same,
   /// Ignored: out of order, or from an earlier incarnation or one that left.
   Outdated,
+  /// Held back in m_unconfirmed.
+  Unconfirmed,
 };
 
 /// After this long without a report, another id is accepted even if its start time is earlier.
@@ -78,13 +80,30 @@
 /// Reports may be this late.
 constexpr Milliseconds kLateReportMs = 10'000;
 
-/// Applies a report if it is not outdated.
+/// Applies a report if it is not outdated. The report of a target that is known to be leaving is a
+/// departure as well.
 ReportOutcome
 ApplyReport(TargetRecord& aRecord, const TargetReport& aReport, Instant aNow);
 
+/// Applies what a health check of the target found, and the held back report if it is of the same
+/// id. Ignored while a target is known, since its own report is more reliable.
+ReportOutcome
+ApplyProbe(TargetRecord& aRecord, const TargetReport& aProbed, Instant aNow);
+
 /// Records that an incarnation leaves.
 /// @return true if it is the one of the latest accepted report.
 bool
 RecordLeave(TargetRecord& aRecord, const Departure& aDeparture, Instant aNow);
 
+/// Applies what another node remembers of the targets beside this one.
+/// @param aComplete the other node remembers the process before this one, so that it names all
+/// departures which that one acknowledged. The held back report is applied if it is of none of
+/// them.
+/// @return true if the latest accepted report changed.
+bool
+RecallDepartures(TargetRecord& aRecord,
+                 const std::vector<Departure>& aDepartures,
+                 bool aComplete,
+                 Instant aNow);
+
 } // namespace sequoiastep::routing
--- a/modules/routing/src/TargetRecord.cpp
+++ b/modules/routing/src/TargetRecord.cpp
@@ -1,6 +1,7 @@
 #include "TargetRecord.h"
 
 #include <algorithm>
+#include <utility>
 
 namespace sequoiastep::routing {
 
@@ -78,6 +79,15 @@
   }
 }
 
+bool
+IsRecorded(const TargetRecord& aRecord, const Departure& aDeparture)
+{
+  return std::any_of(
+    aRecord.m_departures.begin(), aRecord.m_departures.end(), [&](const RecordedDeparture& aLeft) {
+      return aLeft.m_departure == aDeparture;
+    });
+}
+
 // Once a report under the id is accepted, departures without a start time are of earlier
 // incarnations, whose reports its own start time outdates.
 void
@@ -88,14 +98,19 @@
   });
 }
 
-} // namespace
+// While reports that were sent to the process before this one may come, a target that is not known
+// yet may have left. Its first report comes long before that.
+bool
+NeedsConfirmation(const TargetRecord& aRecord, const TargetReport& aReport, Instant aNow)
+{
+  return !aRecord.m_newest && !aRecord.m_departuresRecalled && !aReport.m_leaving &&
+         !aReport.m_id.empty() && aReport.m_sequence > 1 &&
+         aNow - aRecord.m_startedAt < kLateReportMs;
+}
 
 ReportOutcome
-ApplyReport(TargetRecord& aRecord, const TargetReport& aReport, Instant aNow)
+ApplyConfirmed(TargetRecord& aRecord, const TargetReport& aReport, Instant aNow)
 {
-  if (HasLeft(aRecord, aReport, aNow)) {
-    return ReportOutcome::Outdated;
-  }
   if (aRecord.m_newest && IsSameIncarnation(*aRecord.m_newest, aReport)) {
     const bool completed = !aRecord.m_newest->m_bornMs && aReport.m_bornMs;
     if (!completed && aReport.m_sequence <= aRecord.m_newest->m_sequence) {
@@ -118,6 +133,39 @@
   return ReportOutcome::NewTarget;
 }
 
+} // namespace
+
+ReportOutcome
+ApplyReport(TargetRecord& aRecord, const TargetReport& aReport, Instant aNow)
+{
+  if (!aReport.m_leaving && HasLeft(aRecord, aReport, aNow)) {
+    return ReportOutcome::Outdated;
+  }
+  if (NeedsConfirmation(aRecord, aReport, aNow)) {
+    aRecord.m_unconfirmed = aReport;
+    return ReportOutcome::Unconfirmed;
+  }
+  const ReportOutcome outcome = ApplyConfirmed(aRecord, aReport, aNow);
+  if (outcome != ReportOutcome::Outdated && aReport.m_leaving && !aReport.m_id.empty()) {
+    AddDeparture(aRecord, { .m_id = aReport.m_id, .m_bornMs = aRecord.m_newest->m_bornMs }, aNow);
+  }
+  return outcome;
+}
+
+ReportOutcome
+ApplyProbe(TargetRecord& aRecord, const TargetReport& aProbed, Instant aNow)
+{
+  if (aRecord.m_newest) {
+    return ReportOutcome::Outdated;
+  }
+  const std::optional<TargetReport> held = std::exchange(aRecord.m_unconfirmed, std::nullopt);
+  ReportOutcome outcome = ApplyReport(aRecord, aProbed, aNow);
+  if (outcome != ReportOutcome::Outdated && held && held->m_id == aProbed.m_id) {
+    ApplyReport(aRecord, *held, aNow);
+  }
+  return outcome;
+}
+
 bool
 RecordLeave(TargetRecord& aRecord, const Departure& aDeparture, Instant aNow)
 {
@@ -136,4 +184,33 @@
   return known;
 }
 
+bool
+RecallDepartures(TargetRecord& aRecord,
+                 const std::vector<Departure>& aDepartures,
+                 bool aComplete,
+                 Instant aNow)
+{
+  bool changed = false;
+  for (const Departure& departure : aDepartures) {
+    if (IsRecorded(aRecord, departure)) {
+      continue;
+    }
+    AddDeparture(aRecord, departure, aNow);
+    // Without both start times the known target may be a later incarnation.
+    TargetReport* const newest = aRecord.m_newest ? &*aRecord.m_newest : nullptr;
+    if (newest != nullptr && newest->m_bornMs && departure.m_bornMs && !newest->m_leaving &&
+        IsOfDeparted(aRecord.m_departures.back(), *newest, aNow)) {
+      newest->m_leaving = true;
+      changed = true;
+    }
+  }
+  aRecord.m_departuresRecalled = aRecord.m_departuresRecalled || aComplete;
+  if (aRecord.m_departuresRecalled && aRecord.m_unconfirmed) {
+    const TargetReport held = *std::exchange(aRecord.m_unconfirmed, std::nullopt);
+    const ReportOutcome outcome = ApplyReport(aRecord, held, aNow);
+    changed = changed || outcome == ReportOutcome::NewTarget;
+  }
+  return changed;
+}
+
 } // namespace sequoiastep::routing
--- a/modules/routing/tests/TargetRecordTest.cpp
+++ b/modules/routing/tests/TargetRecordTest.cpp
@@ -1,6 +1,8 @@
 #include "TargetRecord.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
+#include <vector>
 
 using namespace sequoiastep;
 using namespace sequoiastep::routing;
@@ -156,3 +158,138 @@
     CHECK(ApplyReport(record, late, kNow + kSilentTargetMs) == ReportOutcome::Outdated);
   }
 }
+
+// Guards against work that is lost at a target that left: the node that acknowledged it restarts,
+// and a late report comes to the new process.
+TEST_CASE("a leave that another node remembers outdates the late reports of that target")
+{
+  TargetRecord record;
+  record.m_startedAt = kNow;
+  SUBCASE("remembered before the late report")
+  {
+    CHECK_FALSE(RecallDepartures(record, { Left("a", 100) }, true, kNow + 200));
+    CHECK(ApplyReport(record, Report("a", 100, 13), kNow + 2000) == ReportOutcome::Outdated);
+  }
+  SUBCASE("remembered after it")
+  {
+    CHECK(ApplyReport(record, Report("a", 100, 13), kNow + 100) == ReportOutcome::Unconfirmed);
+    CHECK_FALSE(RecallDepartures(record, { Left("a", 100) }, true, kNow + 200));
+  }
+  SUBCASE("remembered by a node that may not know all")
+  {
+    CHECK(ApplyReport(record, Report("a", 100, 13), kNow + 100) == ReportOutcome::Unconfirmed);
+    CHECK_FALSE(RecallDepartures(record, { Left("a", 100) }, false, kNow + 200));
+    CHECK(ApplyProbe(record, Probed("b"), kNow + 300) == ReportOutcome::NewTarget);
+    CHECK(record.m_newest->m_id == "b");
+    return;
+  }
+  CHECK_FALSE(record.m_newest);
+  CHECK(ApplyReport(record, Report("a", 101, 2), kNow + 3000) == ReportOutcome::NewTarget);
+}
+
+TEST_CASE("a target that was taken for a sound one leaves when its leave is remembered")
+{
+  TargetRecord record;
+  record.m_startedAt = kNow;
+  CHECK_FALSE(RecallDepartures(record, {}, true, kNow));
+  CHECK(ApplyReport(record, Report("a", 100, 13), kNow + 100) == ReportOutcome::NewTarget);
+  CHECK(RecallDepartures(record, { Left("a", 100) }, false, kNow + 200));
+  CHECK(record.m_newest->m_leaving);
+  CHECK_FALSE(RecallDepartures(record, { Left("a", 100) }, false, kNow + 300));
+}
+
+TEST_CASE("a sound target is used again soon after its node's restart")
+{
+  TargetRecord record;
+  record.m_startedAt = kNow;
+  SUBCASE("its health check succeeded before its report")
+  {
+    CHECK(ApplyProbe(record, Probed("a"), kNow + 50) == ReportOutcome::NewTarget);
+    CHECK(ApplyReport(record, Report("a", 100, 13), kNow + 900) == ReportOutcome::Changed);
+  }
+  SUBCASE("its health check succeeded after its report")
+  {
+    CHECK(ApplyReport(record, Report("a", 100, 13), kNow + 100) == ReportOutcome::Unconfirmed);
+    CHECK(ApplyProbe(record, Probed("a"), kNow + 150) == ReportOutcome::NewTarget);
+  }
+  SUBCASE("its health check fails, but a node remembers that no target of this one left")
+  {
+    CHECK(ApplyReport(record, Report("a", 100, 13), kNow + 100) == ReportOutcome::Unconfirmed);
+    CHECK(RecallDepartures(record, {}, true, kNow + 200));
+  }
+  SUBCASE("it has just started")
+  {
+    CHECK(ApplyReport(record, Report("a", 100, 1), kNow + 100) == ReportOutcome::NewTarget);
+  }
+  SUBCASE("nothing confirms it, but no late report can come any more")
+  {
+    CHECK(ApplyReport(record, Report("a", 100, 13), kNow + 100) == ReportOutcome::Unconfirmed);
+    CHECK(ApplyReport(record, Report("a", 100, 20), kNow + kLateReportMs) ==
+          ReportOutcome::NewTarget);
+  }
+  REQUIRE(record.m_newest);
+  CHECK(record.m_newest->m_bornMs == 100);
+  CHECK_FALSE(record.m_newest->m_leaving);
+}
+
+TEST_CASE("a target that reported draining has left for good, as one that deregistered")
+{
+  TargetRecord record;
+  CHECK(ApplyReport(record, Report("a", 100, 7, true), kNow) == ReportOutcome::NewTarget);
+  // It is silent, so that any other id would replace the one that came after it.
+  CHECK(ApplyReport(record, Report("b", 200, 1), kNow) == ReportOutcome::NewTarget);
+  CHECK(ApplyReport(record, Report("a", 100, 8), kNow + kSilentTargetMs) ==
+        ReportOutcome::Outdated);
+  CHECK(record.m_newest->m_id == "b");
+}
+
+// Each order of the same messages ends alike: leaving is final.
+TEST_CASE("in whatever order a leave and late reports come, the target is not in use afterwards")
+{
+  enum class Message
+  {
+    Probe,
+    Report,
+    LateReport,
+    Draining,
+    Leave,
+    Recall,
+  };
+  std::vector<Message> order{ Message::Probe,    Message::Report, Message::LateReport,
+                              Message::Draining, Message::Leave,  Message::Recall };
+  do {
+    TargetRecord record;
+    record.m_startedAt = kNow;
+    Instant now = kNow;
+    bool left = false;
+    for (const Message message : order) {
+      now = now + 100;
+      switch (message) {
+        case Message::Probe:
+          if (!left) { // A target that leaves fails its health checks.
+            ApplyProbe(record, Probed("a"), now);
+          }
+          break;
+        case Message::Report:
+          ApplyReport(record, Report("a", 100, 12), now);
+          break;
+        case Message::LateReport:
+          ApplyReport(record, Report("a", 100, 13), now);
+          break;
+        case Message::Draining:
+          ApplyReport(record, Report("a", 100, 14, true), now);
+          left = true;
+          break;
+        case Message::Leave:
+          RecordLeave(record, Left("a", 100), now);
+          left = true;
+          break;
+        case Message::Recall:
+          RecallDepartures(record, { Left("a", 100) }, true, now);
+          left = true;
+          break;
+      }
+    }
+    CHECK((!record.m_newest || record.m_newest->m_leaving));
+  } while (std::next_permutation(order.begin(), order.end()));
+}
--- a/modules/wire/include/Messages_generated.h
+++ b/modules/wire/include/Messages_generated.h
@@ -24,6 +24,10 @@
 struct TargetNoticeBuilder;
 struct TargetNoticeT;
 
+struct Departure;
+struct DepartureBuilder;
+struct DepartureT;
+
 struct MemberEntry;
 struct MemberEntryBuilder;
 struct MemberEntryT;
@@ -941,6 +945,7 @@
   const flatbuffers::String *id() const {
     return GetPointer<const flatbuffers::String *>(VT_ID);
   }
+  /// 0 if not known.
   int64_t born_ms() const {
     return GetField<int64_t>(VT_BORN_MS, 0);
   }
@@ -1028,6 +1033,89 @@
 
 flatbuffers::Offset<TargetNotice> CreateTargetNotice(flatbuffers::FlatBufferBuilder &_fbb, const TargetNoticeT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct DepartureT : public flatbuffers::NativeTable {
+  typedef Departure TableType;
+  std::string id{};
+  int64_t born_ms = 0;
+};
+
+/// An incarnation of a target that leaves or has left.
+struct Departure FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef DepartureT NativeTableType;
+  typedef DepartureBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_BORN_MS = 6
+  };
+  const flatbuffers::String *id() const {
+    return GetPointer<const flatbuffers::String *>(VT_ID);
+  }
+  /// 0 if not known.
+  int64_t born_ms() const {
+    return GetField<int64_t>(VT_BORN_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ID) &&
+           verifier.VerifyString(id()) &&
+           VerifyField<int64_t>(verifier, VT_BORN_MS, 8) &&
+           verifier.EndTable();
+  }
+  DepartureT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(DepartureT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Departure> Pack(flatbuffers::FlatBufferBuilder &_fbb, const DepartureT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct DepartureBuilder {
+  typedef Departure Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(flatbuffers::Offset<flatbuffers::String> id) {
+    fbb_.AddOffset(Departure::VT_ID, id);
+  }
+  void add_born_ms(int64_t born_ms) {
+    fbb_.AddElement<int64_t>(Departure::VT_BORN_MS, born_ms, 0);
+  }
+  explicit DepartureBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Departure> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Departure>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Departure> CreateDeparture(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> id = 0,
+    int64_t born_ms = 0) {
+  DepartureBuilder builder_(_fbb);
+  builder_.add_born_ms(born_ms);
+  builder_.add_id(id);
+  return builder_.Finish();
+}
+
+struct Departure::Traits {
+  using type = Departure;
+  static auto constexpr Create = CreateDeparture;
+};
+
+inline flatbuffers::Offset<Departure> CreateDepartureDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *id = nullptr,
+    int64_t born_ms = 0) {
+  auto id__ = id ? _fbb.CreateString(id) : 0;
+  return sequoiastep::wire::CreateDeparture(
+      _fbb,
+      id__,
+      born_ms);
+}
+
+flatbuffers::Offset<Departure> CreateDeparture(flatbuffers::FlatBufferBuilder &_fbb, const DepartureT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct MemberEntryT : public flatbuffers::NativeTable {
   typedef MemberEntry TableType;
   std::string node{};
@@ -1041,6 +1129,11 @@
   uint16_t slots = 0;
   uint32_t warm_up_ms = 0;
   double per_second = -1.0;
+  std::vector<std::unique_ptr<sequoiastep::wire::DepartureT>> departures{};
+  MemberEntryT() = default;
+  MemberEntryT(const MemberEntryT &o);
+  MemberEntryT(MemberEntryT&&) FLATBUFFERS_NOEXCEPT = default;
+  MemberEntryT &operator=(MemberEntryT o) FLATBUFFERS_NOEXCEPT;
 };
 
 struct MemberEntry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
@@ -1058,7 +1151,8 @@
     VT_SERVICE = 18,
     VT_SLOTS = 20,
     VT_WARM_UP_MS = 22,
-    VT_PER_SECOND = 24
+    VT_PER_SECOND = 24,
+    VT_DEPARTURES = 26
   };
   const flatbuffers::String *node() const {
     return GetPointer<const flatbuffers::String *>(VT_NODE);
@@ -1094,6 +1188,10 @@
   double per_second() const {
     return GetField<double>(VT_PER_SECOND, -1.0);
   }
+  /// Targets of the host that left. Merged with what the receiver knows, never taken back.
+  const flatbuffers::Vector<flatbuffers::Offset<sequoiastep::wire::Departure>> *departures() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<sequoiastep::wire::Departure>> *>(VT_DEPARTURES);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NODE) &&
@@ -1112,6 +1210,9 @@
            VerifyField<uint16_t>(verifier, VT_SLOTS, 2) &&
            VerifyField<uint32_t>(verifier, VT_WARM_UP_MS, 4) &&
            VerifyField<double>(verifier, VT_PER_SECOND, 8) &&
+           VerifyOffset(verifier, VT_DEPARTURES) &&
+           verifier.VerifyVector(departures()) &&
+           verifier.VerifyVectorOfTables(departures()) &&
            verifier.EndTable();
   }
   MemberEntryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1156,6 +1257,9 @@
   void add_per_second(double per_second) {
     fbb_.AddElement<double>(MemberEntry::VT_PER_SECOND, per_second, -1.0);
   }
+  void add_departures(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sequoiastep::wire::Departure>>> departures) {
+    fbb_.AddOffset(MemberEntry::VT_DEPARTURES, departures);
+  }
   explicit MemberEntryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1179,10 +1283,12 @@
     flatbuffers::Offset<flatbuffers::String> service = 0,
     uint16_t slots = 0,
     uint32_t warm_up_ms = 0,
-    double per_second = -1.0) {
+    double per_second = -1.0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sequoiastep::wire::Departure>>> departures = 0) {
   MemberEntryBuilder builder_(_fbb);
   builder_.add_per_second(per_second);
   builder_.add_incarnation(incarnation);
+  builder_.add_departures(departures);
   builder_.add_warm_up_ms(warm_up_ms);
   builder_.add_service(service);
   builder_.add_failure_domain(failure_domain);
@@ -1212,12 +1318,14 @@
     const char *service = nullptr,
     uint16_t slots = 0,
     uint32_t warm_up_ms = 0,
-    double per_second = -1.0) {
+    double per_second = -1.0,
+    const std::vector<flatbuffers::Offset<sequoiastep::wire::Departure>> *departures = nullptr) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto region__ = region ? _fbb.CreateString(region) : 0;
   auto failure_domain__ = failure_domain ? _fbb.CreateString(failure_domain) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto departures__ = departures ? _fbb.CreateVector<flatbuffers::Offset<sequoiastep::wire::Departure>>(*departures) : 0;
   return sequoiastep::wire::CreateMemberEntry(
       _fbb,
       node__,
@@ -1230,7 +1338,8 @@
       service__,
       slots,
       warm_up_ms,
-      per_second);
+      per_second,
+      departures__);
 }
 
 flatbuffers::Offset<MemberEntry> CreateMemberEntry(flatbuffers::FlatBufferBuilder &_fbb, const MemberEntryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4259,6 +4368,67 @@
       _leaving);
 }
 
+inline DepartureT *Departure::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<DepartureT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void Departure::UnPackTo(DepartureT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = id(); if (_e) _o->id = _e->str(); }
+  { auto _e = born_ms(); _o->born_ms = _e; }
+}
+
+inline flatbuffers::Offset<Departure> Departure::Pack(flatbuffers::FlatBufferBuilder &_fbb, const DepartureT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateDeparture(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<Departure> CreateDeparture(flatbuffers::FlatBufferBuilder &_fbb, const DepartureT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const DepartureT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id.empty() ? 0 : _fbb.CreateString(_o->id);
+  auto _born_ms = _o->born_ms;
+  return sequoiastep::wire::CreateDeparture(
+      _fbb,
+      _id,
+      _born_ms);
+}
+
+inline MemberEntryT::MemberEntryT(const MemberEntryT &o)
+      : node(o.node),
+        incarnation(o.incarnation),
+        counter(o.counter),
+        state(o.state),
+        address(o.address),
+        region(o.region),
+        failure_domain(o.failure_domain),
+        service(o.service),
+        slots(o.slots),
+        warm_up_ms(o.warm_up_ms),
+        per_second(o.per_second) {
+  departures.reserve(o.departures.size());
+  for (const auto &departures_ : o.departures) { departures.emplace_back((departures_) ? new sequoiastep::wire::DepartureT(*departures_) : nullptr); }
+}
+
+inline MemberEntryT &MemberEntryT::operator=(MemberEntryT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(node, o.node);
+  std::swap(incarnation, o.incarnation);
+  std::swap(counter, o.counter);
+  std::swap(state, o.state);
+  std::swap(address, o.address);
+  std::swap(region, o.region);
+  std::swap(failure_domain, o.failure_domain);
+  std::swap(service, o.service);
+  std::swap(slots, o.slots);
+  std::swap(warm_up_ms, o.warm_up_ms);
+  std::swap(per_second, o.per_second);
+  std::swap(departures, o.departures);
+  return *this;
+}
+
 inline MemberEntryT *MemberEntry::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<MemberEntryT>();
   UnPackTo(_o.get(), _resolver);
@@ -4279,6 +4449,7 @@
   { auto _e = slots(); _o->slots = _e; }
   { auto _e = warm_up_ms(); _o->warm_up_ms = _e; }
   { auto _e = per_second(); _o->per_second = _e; }
+  { auto _e = departures(); if (_e) { _o->departures.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->departures[_i] = std::unique_ptr<sequoiastep::wire::DepartureT>(_e->Get(_i)->UnPack(_resolver)); } } }
 }
 
 inline flatbuffers::Offset<MemberEntry> MemberEntry::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MemberEntryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4300,6 +4471,7 @@
   auto _slots = _o->slots;
   auto _warm_up_ms = _o->warm_up_ms;
   auto _per_second = _o->per_second;
+  auto _departures = _o->departures.size() ? _fbb.CreateVector<flatbuffers::Offset<sequoiastep::wire::Departure>> (_o->departures.size(), [](size_t i, _VectorArgs *__va) { return CreateDeparture(*__va->__fbb, __va->__o->departures[i].get(), __va->__rehasher); }, &_va ) : 0;
   return sequoiastep::wire::CreateMemberEntry(
       _fbb,
       _node,
@@ -4312,7 +4484,8 @@
       _service,
       _slots,
       _warm_up_ms,
-      _per_second);
+      _per_second,
+      _departures);
 }
 
 inline JoinT *Join::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
