Refuse what can't end before a node's stop while it can still be answered

Cause: the queue at the target's node knew nothing of the end of the stop, of its own node or of the one that took the request, and the end of the drain time closed all connections. Change: DrainPlan holds the stop's times. A stopping node closes its queue at the latest end of a run, and tells the nodes where its calls wait (Shorten), which answer 'not run' once a call can't end in time. What is left at the end is answered as unknown.

--- a/modules/node/src/CallLinks.cpp
+++ b/modules/node/src/CallLinks.cpp
@@ -43,6 +43,9 @@
   /// Body that is sent in chunks; empty if the call itself carries it.
   std::vector<std::uint8_t> m_body;
   std::size_t m_bodySent = 0;
+  /// The link that it was sent over, and its id there.
+  std::weak_ptr<Link> m_link;
+  std::uint64_t m_id = 0;
   CallReply m_reply{ .m_kind = CallReply::Kind::TimedOut, .m_answer = {} };
 };
 
@@ -198,6 +201,10 @@
       co_return CallReply{ .m_kind = CallReply::Kind::NotSent, .m_answer = {} };
     }
   }
+  if (m_answerBy) {
+    const Milliseconds left = std::max<Milliseconds>(1, *m_answerBy - Clock::Now());
+    aCall.timeout_ms = std::min(aCall.timeout_ms, static_cast<std::uint32_t>(left));
+  }
   aCall.id = m_nextId++;
   aCall.sent_ms = Clock::Now().m_ms;
   const std::uint64_t id = aCall.id;
@@ -207,14 +214,20 @@
     aCall.body.clear();
     aCall.body_size = static_cast<std::uint32_t>(pending.m_body.size());
   }
+  pending.m_link = link;
+  pending.m_id = id;
   link->m_pending.emplace(id, &pending);
+  m_waiting.insert(&pending);
   // Runs however this coroutine ends, also if a cancellation destroys it.
   struct CancelUnanswered
   {
+    CallLinks& m_links;
+    PendingCall* m_call;
     LinkPtr m_link;
     std::uint64_t m_id;
     ~CancelUnanswered()
     {
+      m_links.m_waiting.erase(m_call);
       if (m_link->m_pending.erase(m_id) > 0 && m_link->m_connection) {
         wire::CancelT cancel;
         cancel.id = m_id;
@@ -222,7 +235,9 @@
       }
     }
   };
-  const CancelUnanswered cancelUnanswered{ .m_link = link, .m_id = id };
+  const CancelUnanswered cancelUnanswered{
+    .m_links = *this, .m_call = &pending, .m_link = link, .m_id = id
+  };
   link->m_connection->Send(wire::EncodeFrame(wire::MakeEnvelope(std::move(aCall))));
   co_await pending.m_timer.async_wait(kAsTuple);
   if (pending.m_reply.m_kind == CallReply::Kind::TimedOut && !pending.MayRun()) {
@@ -356,6 +371,30 @@
   m_livenessLoopRuns = false;
 }
 
+void
+CallLinks::ShortenCalls(Instant aAt)
+{
+  m_answerBy = aAt;
+  const Milliseconds left = std::max<Milliseconds>(1, aAt - Clock::Now());
+  for (const PendingCall* call : m_waiting) {
+    const LinkPtr link = call->m_link.lock();
+    if (link && link->m_connection) {
+      wire::ShortenT shorten;
+      shorten.id = call->m_id;
+      shorten.within_ms = static_cast<std::uint32_t>(left);
+      link->m_connection->Send(wire::EncodeFrame(wire::MakeEnvelope(std::move(shorten))));
+    }
+  }
+}
+
+void
+CallLinks::EndWaits()
+{
+  for (PendingCall* call : m_waiting) {
+    call->m_timer.cancel();
+  }
+}
+
 void
 CallLinks::CloseIdle(const RoutingView& aView)
 {
--- a/modules/node/src/CallLinks.h
+++ b/modules/node/src/CallLinks.h
@@ -11,6 +11,8 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -51,6 +53,11 @@
                                  std::string aAddress,
                                  wire::CallT aCall,
                                  std::int64_t aTimeoutMs);
+  /// This node stops: asks the nodes that calls were sent to for an answer by aAt, and limits later
+  /// calls to that time.
+  void ShortenCalls(Instant aAt);
+  /// Ends the wait of all calls that have no answer yet, as if they had timed out.
+  void EndWaits();
   /// Closes links that carry no call and whose node is a candidate of no service.
   void CloseIdle(const RoutingView& aView);
   /// Closes all links.
@@ -85,6 +92,10 @@
   Identity m_identity;
   SharedState& m_shared;
   std::map<std::string, LinkPtr, std::less<>> m_links;
+  /// All calls that wait for an answer, also on links that were dropped.
+  std::set<PendingCall*> m_waiting;
+  /// This node needs all answers by then; none while it does not stop.
+  std::optional<Instant> m_answerBy;
   std::uint64_t m_nextId = 1;
   bool m_livenessLoopRuns = false;
   bool m_stopped = false;
--- a/modules/node/src/CallProxy.cpp
+++ b/modules/node/src/CallProxy.cpp
@@ -391,9 +391,12 @@
 }
 
 void
-CallProxy::BeginDrain()
+CallProxy::BeginDrain(const routing::DrainPlan& aPlan)
 {
+  m_drainPlan = aPlan;
   m_callerServer.DrainConnections();
+  m_runner.CloseAt(aPlan.m_lastEnd);
+  m_links.ShortenCalls(aPlan.m_lastEnd);
 }
 
 void
@@ -408,6 +411,17 @@
   m_callerServer.StopAccepting();
 }
 
+void
+CallProxy::EndCalls()
+{
+  m_links.EndWaits();
+  const auto localRuns = m_localRuns;
+  for (const auto& run : localRuns) {
+    run->m_cancel.emit(asio::cancellation_type::terminal);
+  }
+  EndInboundCalls();
+}
+
 StopDebts
 CallProxy::Debts() const
 {
--- a/modules/node/src/CallProxy.h
+++ b/modules/node/src/CallProxy.h
@@ -8,6 +8,7 @@
 #include "CallLinks.h"
 #include "CallMetrics.h"
 #include "CallerKeys.h"
+#include "DrainPlan.h"
 #include "Events.h"
 #include "HttpServer.h"
 #include "KeyedCalls.h"
@@ -79,12 +80,14 @@
   /// Takes ownership of the descriptor of an accepted connection on which another node sends calls.
   void AdoptCallSocket(int aDescriptor, const wire::HelloT& aHello);
   /// First step of a stop: asks callers to use another node, by closing each connection after its
-  /// responses.
-  void BeginDrain();
+  /// responses. What can't end in time is refused from now on, also where it waits at other nodes.
+  void BeginDrain(const routing::DrainPlan& aPlan);
   /// Second step of a stop: refuses new calls for the target beside this node.
   void StopAcceptingCalls();
   /// Third step of a stop: accepts no new connections of callers.
   void StopAcceptingCallers();
+  /// Fourth step of a stop: gives the requests that are still in progress their final answer.
+  void EndCalls();
   /// @return what this node still owes. It may stop once that is nothing.
   StopDebts Debts() const;
   /// Last step of a stop: closes all connections.
@@ -121,6 +124,7 @@
                   const config::Snapshot& aSnapshot,
                   const config::Route& aRoute);
   routing::PickRequest PickRequestFor(const CallJob& aJob) const;
+  Instant DeadlineOf(const CallJob& aJob) const;
   routing::RetryBudget& BudgetOf(const std::string& aService);
   bool MayOverlap(const net::HttpRequest& aRequest) const;
   void ApplyCallerLimits();
@@ -157,6 +161,7 @@
   void UseTarget(const std::optional<routing::TargetReport>& aTarget);
   std::uint16_t MinSlotsOfService(const std::string& aService) const;
   std::size_t UndeliveredBytes() const;
+  void EndInboundCalls();
 
   net::asio::io_context& m_context;
   const Settings& m_settings;
@@ -184,6 +189,10 @@
   routing::RouteAverages m_answerKilobytes{ .m_weight = 0.2 };
   /// Configuration version whose limits for callers are applied; 0 if none is.
   std::uint64_t m_callerLimitsVersion = 0;
+  /// Set when this node stops.
+  std::optional<routing::DrainPlan> m_drainPlan;
+  /// Runs of this node's callers at its own target.
+  std::set<std::shared_ptr<TargetRun>> m_localRuns;
   std::set<InboundLinkPtr> m_inboundLinks;
   std::uint64_t m_nextInboundLink = 1;
   /// Requests of callers in progress.
--- a/modules/node/src/CallProxyRoute.cpp
+++ b/modules/node/src/CallProxyRoute.cpp
@@ -108,6 +108,13 @@
   return route != nullptr && route->m_repeat == config::Repeat::Safe;
 }
 
+// When the caller must have the answer: at its deadline, or earlier if this node stops before.
+Instant
+CallProxy::DeadlineOf(const CallJob& aJob) const
+{
+  return m_drainPlan ? std::min(aJob.m_deadline, m_drainPlan->m_answerBy) : aJob.m_deadline;
+}
+
 routing::RetryBudget&
 CallProxy::BudgetOf(const std::string& aService)
 {
@@ -212,18 +219,21 @@
   };
   auto pending = std::make_shared<PendingRun>(m_context);
   const auto run = MakeTargetRun(aCall);
+  m_localRuns.insert(run);
   struct AbandonGuard
   {
+    CallProxy& m_proxy;
     std::shared_ptr<PendingRun> m_pending;
     std::shared_ptr<TargetRun> m_run;
     ~AbandonGuard()
     {
+      m_proxy.m_localRuns.erase(m_run);
       if (!m_pending->m_answer) {
         Abandon(*m_run);
       }
     }
   };
-  const AbandonGuard guard{ .m_pending = pending, .m_run = run };
+  const AbandonGuard guard{ .m_proxy = *this, .m_pending = pending, .m_run = run };
   asio::co_spawn(
     m_context,
     m_runner.Run(std::move(aCall), m_identity.m_node, run),
@@ -253,7 +263,7 @@
 CallProxy::RunAttempt(const CallJob& aJob, const routing::Candidate& aTarget)
 {
   CallT call = aJob.m_call;
-  const Milliseconds left = std::max<Milliseconds>(1, aJob.m_deadline - Clock::Now());
+  const Milliseconds left = std::max<Milliseconds>(1, DeadlineOf(aJob) - Clock::Now());
   call.timeout_ms = static_cast<std::uint32_t>(left);
   call.objective_ms = static_cast<std::int32_t>(aJob.m_objective - Clock::Now());
   if (aTarget.m_node == m_identity.m_node) {
@@ -448,7 +458,7 @@
     routing::RefundRetry(budget, Clock::Now());
   }
   aAttempts.m_retryContext.m_arrivals += aAnswer.arrived ? 1 : 0;
-  aAttempts.m_retryContext.m_leftMs = aJob.m_deadline - Clock::Now();
+  aAttempts.m_retryContext.m_leftMs = DeadlineOf(aJob) - Clock::Now();
   aAttempts.m_retryDecision =
     targetFull && placement.m_anyWait
       ? RetryDecision::StopFull
@@ -516,10 +526,13 @@
     response = MakeProblem(http::status::service_unavailable,
                            aAnswer.outcome,
                            aAnswer.reason + "; it is safe to send the request again");
-    const Milliseconds after =
+    Milliseconds after =
       aAnswer.retry_after_ms > 0
         ? static_cast<Milliseconds>(aAnswer.retry_after_ms)
         : kRetryAfterMinMs + static_cast<Milliseconds>(m_random.Below(kRetryAfterJitterMs));
+    if (m_drainPlan) {
+      after = routing::RetryAfterInDrain(*m_drainPlan, after, Clock::Now());
+    }
     response.set(http::field::retry_after,
                  fmt::format("{:.3f}", static_cast<double>(after) / kMillisecondsPerSecond));
   } else {
--- a/modules/node/src/CallProxyServe.cpp
+++ b/modules/node/src/CallProxyServe.cpp
@@ -76,6 +76,19 @@
   return bytes;
 }
 
+// Ends all calls of other nodes; those that were dispatched are answered as unknown.
+void
+CallProxy::EndInboundCalls()
+{
+  const auto links = m_inboundLinks;
+  for (const InboundLinkPtr& link : links) {
+    const auto calls = link->m_calls;
+    for (const auto& [id, run] : calls) {
+      run->m_cancel.emit(asio::cancellation_type::terminal);
+    }
+  }
+}
+
 void
 CallProxy::Receive(const InboundLinkPtr& aLink, wire::EnvelopeT aMessage)
 {
@@ -88,6 +101,16 @@
     }
     return;
   }
+  if (aMessage.body.type == wire::Body::Shorten) {
+    const wire::ShortenT& shorten = *aMessage.body.AsShorten();
+    const auto found = aLink->m_calls.find(shorten.id);
+    if (found != aLink->m_calls.end()) {
+      const auto run = found->second;
+      run->m_answerBy = Clock::Now() + shorten.within_ms;
+      m_runner.Shorten(*run);
+    }
+    return;
+  }
   if (aMessage.body.type == wire::Body::Probe) {
     wire::ProbeT answer;
     answer.answer = true;
--- a/modules/node/src/Node.cpp
+++ b/modules/node/src/Node.cpp
@@ -2,6 +2,7 @@
 
 #include "CallProxy.h"
 #include "ControlPlane.h"
+#include "DrainPlan.h"
 #include "Log.h"
 
 #include <boost/asio/executor_work_guard.hpp>
@@ -22,8 +23,6 @@
 
 constexpr Milliseconds kDrainPollMs = 20;
 constexpr Milliseconds kLeaveNoticeMs = 150;
-// Fraction of drain_ms for calls to finish; the rest is for the exit itself.
-constexpr double kDrainFraction = 0.9;
 constexpr std::size_t kCallSocketCapacity = 1024;
 
 // An accepted connection that is handed from the control thread to the calls thread.
@@ -149,8 +148,9 @@
     m_stopping = true;
     LogLine(LogLevel::Info, "draining");
     m_shared.m_draining.store(true);
-    asio::post(m_callsContext, [this] { m_calls->BeginDrain(); });
-    asio::co_spawn(m_controlContext, FinishStop(), asio::detached);
+    const routing::DrainPlan plan = MakeDrainPlan(Clock::Now());
+    asio::post(m_callsContext, [this, plan] { m_calls->BeginDrain(plan); });
+    asio::co_spawn(m_controlContext, FinishStop(Clock::Now(), plan), asio::detached);
   }
 
   Awaitable<void> Sleep(Milliseconds aDelay)
@@ -178,10 +178,10 @@
     co_return debts;
   }
 
-  static void LogDebts(const StopDebts& aDebts, Milliseconds aElapsedMs)
+  static void LogDebts(std::string_view aEvent, const StopDebts& aDebts, Milliseconds aElapsedMs)
   {
     const bool clear = aDebts.IsClear();
-    LogLine(clear ? LogLevel::Info : LogLevel::Warning, clear ? "drained" : "drain_time_over")
+    LogLine(clear ? LogLevel::Info : LogLevel::Warning, aEvent)
       .Add("after_ms", aElapsedMs)
       .Add("caller_connections", aDebts.m_callerConnections)
       .Add("caller_requests", aDebts.m_callerRequests)
@@ -191,31 +191,43 @@
       .Add("remedy", clear ? "none" : "if requests take longer, increase timings.drain_ms");
   }
 
-  // Waits until aAfterMs after the stop request at aStart.
-  Awaitable<void> SleepUntil(Instant aStart, std::uint64_t aAfterMs)
+  routing::DrainPlan MakeDrainPlan(Instant aStart) const
   {
-    const Milliseconds left = static_cast<Milliseconds>(aAfterMs) - (Clock::Now() - aStart);
+    const Timings& timings = m_settings.m_timings;
+    const routing::DrainTimings drain{
+      .m_announceAfterMs = static_cast<Milliseconds>(timings.m_drainAfterMs),
+      .m_noticeMs = static_cast<Milliseconds>(timings.m_drainNoticeMs),
+      .m_callerNoticeMs = static_cast<Milliseconds>(timings.m_callerNoticeMs),
+      .m_totalMs = static_cast<Milliseconds>(timings.m_drainMs)
+    };
+    return routing::PlanDrain(aStart, drain);
+  }
+
+  Awaitable<void> SleepUntil(Instant aUntil)
+  {
+    const Milliseconds left = aUntil - Clock::Now();
     if (left > 0) {
       co_await Sleep(left);
     }
   }
 
-  Awaitable<void> FinishStop()
+  Awaitable<void> FinishStop(Instant aStart, routing::DrainPlan aPlan)
   {
-    const Timings& timings = m_settings.m_timings;
-    const Instant start = Clock::Now();
-    co_await SleepUntil(start, timings.m_drainAfterMs);
+    co_await SleepUntil(aPlan.m_announceAt);
     m_control.Feed(distribution::DrainRequested{});
-    co_await SleepUntil(start, timings.m_drainAfterMs + timings.m_drainNoticeMs);
+    co_await SleepUntil(aPlan.m_refuseCallsAt);
     asio::post(m_callsContext, [this] { m_calls->StopAcceptingCalls(); });
-    co_await SleepUntil(start, timings.m_callerNoticeMs);
+    co_await SleepUntil(aPlan.m_refuseCallersAt);
     asio::post(m_callsContext, [this] { m_calls->StopAcceptingCallers(); });
-    const auto limitMs = static_cast<Milliseconds>(timings.m_drainMs * kDrainFraction);
-    const StopDebts debts = co_await PayDebts(start + limitMs);
-    LogDebts(debts, Clock::Now() - start);
+    StopDebts debts = co_await PayDebts(aPlan.m_answerBy);
+    if (!debts.IsClear()) {
+      LogDebts("drain_time_over", debts, Clock::Now() - aStart);
+      asio::post(m_callsContext, [this] { m_calls->EndCalls(); });
+    }
     m_control.Feed(distribution::LeaveRequested{});
     co_await Sleep(kLeaveNoticeMs);
-    co_await PayDebts(start + limitMs); // Answers to calls that came meanwhile.
+    debts = co_await PayDebts(aPlan.m_closeBy); // Answers to calls that came meanwhile as well.
+    LogDebts(debts.IsClear() ? "drained" : "answers_cut", debts, Clock::Now() - aStart);
     asio::post(m_callsContext, [this] {
       m_calls->Stop();
       m_callsContext.stop();
--- a/modules/node/src/TargetRunner.cpp
+++ b/modules/node/src/TargetRunner.cpp
@@ -217,6 +217,29 @@
   m_stopping = true;
 }
 
+void
+TargetRunner::CloseAt(Instant aAt)
+{
+  ApplyDecision(routing::CloseAt(m_admissionQueue, aAt, Clock::Now()));
+}
+
+void
+TargetRunner::Shorten(const TargetRun& aRun)
+{
+  if (aRun.m_queueId && aRun.m_answerBy) {
+    ApplyDecision(
+      routing::Shorten(m_admissionQueue, *aRun.m_queueId, *aRun.m_answerBy, Clock::Now()));
+  }
+}
+
+// When a run must have ended: at its deadline, or earlier if a node on its way stops before.
+Instant
+TargetRunner::LatestEnd(Instant aDeadline, const TargetRun& aRun) const
+{
+  const Instant answerBy = aRun.m_answerBy.value_or(aDeadline);
+  return std::min({ aDeadline, answerBy, m_admissionQueue.m_closesAt.value_or(aDeadline) });
+}
+
 std::uint32_t
 TargetRunner::Outstanding() const
 {
@@ -300,15 +323,28 @@
   return MakeRefusal(reason, false);
 }
 
+// Why the target has no room in time.
+std::string_view
+TargetRunner::FullReason(const routing::AdmissionResult& aAdmission, const TargetRun* aRun) const
+{
+  if (m_admissionQueue.m_closesAt) {
+    return "the node beside the target stops before the request could end";
+  }
+  if (aRun != nullptr && aRun->m_answerBy) {
+    return "the caller's node stops before the request could end";
+  }
+  return aAdmission.m_rateLimited ? "the target is at the limit that it named"
+                                  : "the target is full";
+}
+
 // Refuses and logs a call for which the target has no room in time.
 AnswerT
 TargetRunner::RefuseFull(const CallT& aCall,
                          std::string_view aCaller,
-                         const routing::AdmissionResult& aAdmission) const
+                         const routing::AdmissionResult& aAdmission,
+                         std::string_view aReason) const
 {
-  AnswerT full = MakeRefusal(aAdmission.m_rateLimited ? "the target is at the limit that it named"
-                                                      : "the target is full",
-                             true);
+  AnswerT full = MakeRefusal(aReason, true);
   full.retry_after_ms = static_cast<std::uint32_t>(
     std::clamp<Milliseconds>(aAdmission.m_waitMs, kMinRetryAfterMs, kMaxRetryAfterMs));
   LogRefused(aCall, aCaller, full.reason, aAdmission.m_waitMs);
@@ -331,7 +367,7 @@
     return std::nullopt;
   }
   predicted.m_waitMs = std::max(predicted.m_waitMs, aBodyMs);
-  return RefuseFull(aCall, aCaller, predicted);
+  return RefuseFull(aCall, aCaller, predicted, FullReason(predicted, nullptr));
 }
 
 void
@@ -415,7 +451,7 @@
 TargetRunner::Dispatch(const CallT& aCall, Instant aDeadline, std::shared_ptr<TargetRun> aRun)
 {
   // Checked again just before sending, since the process may have been paused meanwhile.
-  const Milliseconds left = aDeadline - Clock::Now();
+  const Milliseconds left = LatestEnd(aDeadline, *aRun) - Clock::Now();
   if (left <= 0) {
     co_return MakeRefusal("the deadline passed in the queue", false);
   }
@@ -530,13 +566,15 @@
   const std::int64_t arrivedUs = Clock::NowMicroseconds();
   const Instant deadline = Clock::Now() + aCall.timeout_ms;
   routing::AdmissionRequest request = MakeAdmissionRequest(aCall, aCaller);
+  request.m_deadline = std::min(request.m_deadline, aRun->m_answerBy.value_or(request.m_deadline));
+  aRun->m_queueId = request.m_id;
   const routing::AdmissionResult admission = co_await Admit(std::move(request));
   const bool admitted = admission.m_admission == routing::Admission::Run;
   const std::int64_t waitedUs = Clock::NowMicroseconds() - arrivedUs;
   m_metrics.RecordQueueWait(admitted ? QueueResult::Run : QueueResult::Refused, waitedUs);
   if (!admitted) {
     m_shared.m_calls.m_shed.fetch_add(1, std::memory_order_relaxed);
-    co_return RefuseFull(aCall, aCaller, admission);
+    co_return RefuseFull(aCall, aCaller, admission, FullReason(admission, aRun.get()));
   }
   struct SlotRelease
   {
--- a/modules/node/src/TargetRunner.h
+++ b/modules/node/src/TargetRunner.h
@@ -33,6 +33,10 @@
   bool m_repeatable = false;
   /// Bytes of the request may have reached the target.
   bool m_dispatched = false;
+  /// The request's number in the admission queue, once it was offered there.
+  std::optional<std::uint64_t> m_queueId;
+  /// The node that sent the call needs the answer by then; none if it named no such time.
+  std::optional<Instant> m_answerBy;
 };
 
 /// @return the shared state of a run of aCall.
@@ -57,6 +61,10 @@
   void RemoveTarget();
   /// Refuses new work from now on; queued and running calls go on.
   void StopTakingWork();
+  /// The node stops: refuses or sheds the requests that would probably end after aAt.
+  void CloseAt(Instant aAt);
+  /// Applies aRun.m_answerBy to a run that was started before it was set.
+  void Shorten(const TargetRun& aRun);
   /// Runs a call at the target. Cancelling the coroutine closes the connection to the target.
   /// @param aCaller node that the call came from, for fair queueing among nodes.
   /// @param aRun its m_dispatched is set when the call is dispatched.
@@ -89,6 +97,7 @@
   net::Awaitable<wire::AnswerT> RunAdmitted(const wire::CallT& aCall,
                                             std::string aCaller,
                                             std::shared_ptr<TargetRun> aRun);
+  Instant LatestEnd(Instant aDeadline, const TargetRun& aRun) const;
   net::Awaitable<routing::AdmissionResult> Admit(routing::AdmissionRequest aRequest);
   routing::AdmissionRequest MakeAdmissionRequest(const wire::CallT& aCall, std::string aCaller);
   net::Awaitable<wire::AnswerT> Dispatch(const wire::CallT& aCall,
@@ -114,7 +123,10 @@
                                            std::string_view aCaller) const;
   wire::AnswerT RefuseFull(const wire::CallT& aCall,
                            std::string_view aCaller,
-                           const routing::AdmissionResult& aAdmission) const;
+                           const routing::AdmissionResult& aAdmission,
+                           std::string_view aReason) const;
+  std::string_view FullReason(const routing::AdmissionResult& aAdmission,
+                              const TargetRun* aRun) const;
 
   net::asio::io_context& m_context;
   SharedState& m_shared;
--- a/modules/routing/include/AdmissionQueue.h
+++ b/modules/routing/include/AdmissionQueue.h
@@ -14,6 +14,7 @@
 #include <cstdint>
 #include <limits>
 #include <map>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -72,6 +73,8 @@
   std::vector<AdmissionRequest> m_waiting;
   /// Moving average of how long a request runs, in microseconds.
   double m_serviceUs = 0;
+  /// Set when the node stops: requests that would probably end later are shed.
+  std::optional<Instant> m_closesAt;
   /// For each caller with queued requests, m_servedCount when it was last served, or 0.
   std::map<std::string, std::uint64_t, std::less<>> m_lastServed;
   std::uint64_t m_servedCount = 0;
@@ -109,6 +112,16 @@
 QueueDecision
 Finish(AdmissionQueue& aQueue, Instant aNow, std::int64_t aServiceUs);
 
+/// Sheds from now on the requests, queued ones too, that would probably end after aAt.
+/// @return the queued requests that run now and those that are shed.
+QueueDecision
+CloseAt(AdmissionQueue& aQueue, Instant aAt, Instant aNow);
+
+/// Moves the deadline of a queued request to aDeadline if that is earlier.
+/// @return the queued requests that run now and those that are shed.
+QueueDecision
+Shorten(AdmissionQueue& aQueue, std::uint64_t aId, Instant aDeadline, Instant aNow);
+
 /// Removes a queued request because its caller left.
 /// @return false if it was not queued.
 bool
--- a/modules/routing/src/AdmissionQueue.cpp
+++ b/modules/routing/src/AdmissionQueue.cpp
@@ -33,11 +33,17 @@
   return aNow + static_cast<Milliseconds>(longRunMs) + kAnswerMs <= aRequest.m_objective;
 }
 
-// True if the request probably ends before its deadline when it starts at aStart.
+// True if the request probably ends before its deadline, and before the queue closes, when it
+// starts at aStart. At the close a run that takes longer than usual would be cut.
 bool
 EndsInTime(const AdmissionQueue& aQueue, const AdmissionRequest& aRequest, Instant aStart)
 {
-  return aStart + static_cast<Milliseconds>(ServiceMs(aQueue, aRequest)) < aRequest.m_deadline;
+  const double usualMs = ServiceMs(aQueue, aRequest);
+  const auto longRunMs = static_cast<Milliseconds>(kLongRunShare * usualMs);
+  if (aQueue.m_closesAt && aStart + longRunMs >= *aQueue.m_closesAt) {
+    return false;
+  }
+  return aStart + static_cast<Milliseconds>(usualMs) < aRequest.m_deadline;
 }
 
 std::uint64_t
@@ -181,7 +187,8 @@
     return { .m_admission = Admission::Shed, .m_waitMs = 0 };
   }
   const bool hasFreeSlot = aQueue.m_running < aQueue.m_options.m_slots;
-  if (hasFreeSlot && aQueue.m_waiting.empty() &&
+  const bool closed = aQueue.m_closesAt && !EndsInTime(aQueue, aRequest, aNow);
+  if (!closed && hasFreeSlot && aQueue.m_waiting.empty() &&
       WaitForTokenMs(aQueue.m_rateLimiter, 0, aNow) == 0) {
     return { .m_admission = Admission::Run, .m_waitMs = 0 };
   }
@@ -243,6 +250,25 @@
   return ProcessQueue(aQueue, aNow);
 }
 
+QueueDecision
+CloseAt(AdmissionQueue& aQueue, Instant aAt, Instant aNow)
+{
+  aQueue.m_closesAt = aAt;
+  return ProcessQueue(aQueue, aNow);
+}
+
+QueueDecision
+Shorten(AdmissionQueue& aQueue, std::uint64_t aId, Instant aDeadline, Instant aNow)
+{
+  for (AdmissionRequest& request : aQueue.m_waiting) {
+    if (request.m_id == aId) {
+      request.m_deadline = std::min(request.m_deadline, aDeadline);
+      request.m_latestStart = std::min(request.m_latestStart, aDeadline);
+    }
+  }
+  return ProcessQueue(aQueue, aNow);
+}
+
 bool
 Withdraw(AdmissionQueue& aQueue, std::uint64_t aId)
 {
--- a/modules/routing/tests/AdmissionLoadTest.cpp
+++ b/modules/routing/tests/AdmissionLoadTest.cpp
@@ -120,3 +120,87 @@
     CHECK(play.Goodput() >= full.Goodput());
   }
 }
+
+// Guards against requests that a stopping node closes without an answer while they wait: each is
+// run to its end before the node closes, or told in time that it has not run.
+TEST_CASE("a queue that closes under load runs or refuses each request before it closes")
+{
+  constexpr Milliseconds kDrainMs = 5300;
+  constexpr Milliseconds kLongDeadlineMs = 8000;
+  constexpr Milliseconds kTickMs = 20;
+  Play play;
+  play.m_queue.m_options.m_queue = 400;
+  std::map<std::uint64_t, Instant> refusedAt;
+  const auto apply = [&](const QueueDecision& aDecision, Instant aNow) {
+    for (const std::uint64_t id : aDecision.m_shed) {
+      refusedAt[id] = aNow;
+    }
+    play.Apply(aDecision, aNow);
+  };
+  std::uint64_t next = 1;
+  const Instant stopAt = kStart + 4000;
+  const Instant closesAt = stopAt + kDrainMs;
+  Instant lastEnd;
+  for (Milliseconds ms = 0; ms < 12'000; ++ms) {
+    const Instant now = kStart + ms;
+    while (!play.m_running.empty() && play.m_running.top().m_at <= now) {
+      const Ending ending = play.m_running.top();
+      play.m_running.pop();
+      lastEnd = ending.m_at;
+      const auto ranUs = static_cast<double>(ending.m_at - ending.m_startedAt) * kMicrosecondsPerMs;
+      apply(Finish(play.m_queue, now, static_cast<std::int64_t>(ranUs)), now);
+    }
+    // Half as much again as the target can run, until callers know that the node stops.
+    if (ms % 13 == 0 && now < stopAt + 2600) {
+      const AdmissionRequest request{ .m_id = next++,
+                                      .m_caller = next % 2 == 0 ? "near" : "other",
+                                      .m_deadline = now + kLongDeadlineMs };
+      play.m_sentAt[request.m_id] = now;
+      const AdmissionResult result = Offer(play.m_queue, request, now);
+      if (result.m_admission == Admission::Run) {
+        play.Start(request.m_id, now);
+      } else if (result.m_admission == Admission::Shed) {
+        refusedAt[request.m_id] = now;
+      }
+    }
+    if (now == stopAt) {
+      REQUIRE(play.m_queue.m_waiting.size() > kSlots);
+      apply(CloseAt(play.m_queue, closesAt, now), now);
+    }
+    if (ms % kTickMs == 0) {
+      apply(ProcessQueue(play.m_queue, now), now);
+    }
+    if (now >= closesAt) {
+      CHECK(play.m_queue.m_waiting.empty());
+      CHECK(play.m_running.empty());
+      break;
+    }
+  }
+  CHECK(lastEnd < closesAt);
+  for (const auto& [id, at] : refusedAt) {
+    // While there is still time to write the answer and for the caller to come back elsewhere.
+    CHECK(closesAt - at > static_cast<Milliseconds>(kRunMs));
+  }
+}
+
+TEST_CASE(
+  "a request whose caller's node stops is refused at once if it can't end before, others wait")
+{
+  AdmissionQueue queue{ .m_options = { .m_slots = 1, .m_queue = 16, .m_queueMs = 60'000 } };
+  queue.m_serviceUs = 500'000;
+  const auto offer = [&](std::uint64_t aId, const char* aCaller) {
+    return Offer(queue, { .m_id = aId, .m_caller = aCaller, .m_deadline = kStart + 8000 }, kStart)
+      .m_admission;
+  };
+  REQUIRE(offer(1, "near") == Admission::Run);
+  REQUIRE(offer(2, "near") == Admission::Wait);
+  REQUIRE(offer(3, "near") == Admission::Wait);
+  REQUIRE(offer(4, "other") == Admission::Wait);
+  // The first of the two still has its turn within 1200 ms, the second does not.
+  CHECK(Shorten(queue, 2, kStart + 1200, kStart).m_shed.empty());
+  CHECK(Shorten(queue, 3, kStart + 1200, kStart).m_shed == std::vector<std::uint64_t>{ 3 });
+  CHECK(queue.m_waiting.size() == 2);
+  // A later deadline lengthens nothing.
+  Shorten(queue, 2, kStart + 9000, kStart);
+  CHECK(queue.m_waiting.front().m_deadline == kStart + 1200);
+}
--- a/modules/wire/include/Messages_generated.h
+++ b/modules/wire/include/Messages_generated.h
@@ -124,6 +124,10 @@
 struct BodyChunkBuilder;
 struct BodyChunkT;
 
+struct Shorten;
+struct ShortenBuilder;
+struct ShortenT;
+
 struct Envelope;
 struct EnvelopeBuilder;
 struct EnvelopeT;
@@ -331,11 +335,12 @@
   Probe = 17,
   BodyGrant = 18,
   BodyChunk = 19,
+  Shorten = 20,
   MIN = NONE,
-  MAX = BodyChunk
+  MAX = Shorten
 };
 
-inline const Body (&EnumValuesBody())[20] {
+inline const Body (&EnumValuesBody())[21] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -356,13 +361,14 @@
     Body::OperatorPull,
     Body::Probe,
     Body::BodyGrant,
-    Body::BodyChunk
+    Body::BodyChunk,
+    Body::Shorten
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[21] = {
+  static const char * const names[22] = {
     "NONE",
     "Hello",
     "Join",
@@ -383,13 +389,14 @@
     "Probe",
     "BodyGrant",
     "BodyChunk",
+    "Shorten",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::BodyChunk)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::Shorten)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -474,6 +481,10 @@
   static const Body enum_value = Body::BodyChunk;
 };
 
+template<> struct BodyTraits<sequoiastep::wire::Shorten> {
+  static const Body enum_value = Body::Shorten;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -554,6 +565,10 @@
   static const Body enum_value = Body::BodyChunk;
 };
 
+template<> struct BodyUnionTraits<sequoiastep::wire::ShortenT> {
+  static const Body enum_value = Body::Shorten;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -736,6 +751,14 @@
     return type == Body::BodyChunk ?
       reinterpret_cast<const sequoiastep::wire::BodyChunkT *>(value) : nullptr;
   }
+  sequoiastep::wire::ShortenT *AsShorten() {
+    return type == Body::Shorten ?
+      reinterpret_cast<sequoiastep::wire::ShortenT *>(value) : nullptr;
+  }
+  const sequoiastep::wire::ShortenT *AsShorten() const {
+    return type == Body::Shorten ?
+      reinterpret_cast<const sequoiastep::wire::ShortenT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -3931,6 +3954,78 @@
 
 flatbuffers::Offset<BodyChunk> CreateBodyChunk(flatbuffers::FlatBufferBuilder &_fbb, const BodyChunkT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
+struct ShortenT : public flatbuffers::NativeTable {
+  typedef Shorten TableType;
+  uint64_t id = 0;
+  uint32_t within_ms = 0;
+};
+
+/// The sender of a Call needs its answer within this time, which is less than the call's timeout, since
+/// it stops. A request that can't end by then is not to be started. Ignored by a node that doesn't
+/// know it: the sender then gives the call up at that time.
+struct Shorten FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef ShortenT NativeTableType;
+  typedef ShortenBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_WITHIN_MS = 6
+  };
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
+  }
+  uint32_t within_ms() const {
+    return GetField<uint32_t>(VT_WITHIN_MS, 0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyField<uint32_t>(verifier, VT_WITHIN_MS, 4) &&
+           verifier.EndTable();
+  }
+  ShortenT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(ShortenT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Shorten> Pack(flatbuffers::FlatBufferBuilder &_fbb, const ShortenT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct ShortenBuilder {
+  typedef Shorten Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(Shorten::VT_ID, id, 0);
+  }
+  void add_within_ms(uint32_t within_ms) {
+    fbb_.AddElement<uint32_t>(Shorten::VT_WITHIN_MS, within_ms, 0);
+  }
+  explicit ShortenBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<Shorten> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<Shorten>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<Shorten> CreateShorten(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    uint32_t within_ms = 0) {
+  ShortenBuilder builder_(_fbb);
+  builder_.add_id(id);
+  builder_.add_within_ms(within_ms);
+  return builder_.Finish();
+}
+
+struct Shorten::Traits {
+  using type = Shorten;
+  static auto constexpr Create = CreateShorten;
+};
+
+flatbuffers::Offset<Shorten> CreateShorten(flatbuffers::FlatBufferBuilder &_fbb, const ShortenT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
 struct EnvelopeT : public flatbuffers::NativeTable {
   typedef Envelope TableType;
   sequoiastep::wire::BodyUnion body{};
@@ -4008,6 +4103,9 @@
   const sequoiastep::wire::BodyChunk *body_as_BodyChunk() const {
     return body_type() == sequoiastep::wire::Body::BodyChunk ? static_cast<const sequoiastep::wire::BodyChunk *>(body()) : nullptr;
   }
+  const sequoiastep::wire::Shorten *body_as_Shorten() const {
+    return body_type() == sequoiastep::wire::Body::Shorten ? static_cast<const sequoiastep::wire::Shorten *>(body()) : nullptr;
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
@@ -4096,6 +4194,10 @@
   return body_as_BodyChunk();
 }
 
+template<> inline const sequoiastep::wire::Shorten *Envelope::body_as<sequoiastep::wire::Shorten>() const {
+  return body_as_Shorten();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -5476,6 +5578,35 @@
       _bytes);
 }
 
+inline ShortenT *Shorten::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<ShortenT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void Shorten::UnPackTo(ShortenT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = id(); _o->id = _e; }
+  { auto _e = within_ms(); _o->within_ms = _e; }
+}
+
+inline flatbuffers::Offset<Shorten> Shorten::Pack(flatbuffers::FlatBufferBuilder &_fbb, const ShortenT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateShorten(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<Shorten> CreateShorten(flatbuffers::FlatBufferBuilder &_fbb, const ShortenT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const ShortenT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id;
+  auto _within_ms = _o->within_ms;
+  return sequoiastep::wire::CreateShorten(
+      _fbb,
+      _id,
+      _within_ms);
+}
+
 inline EnvelopeT *Envelope::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<EnvelopeT>();
   UnPackTo(_o.get(), _resolver);
@@ -5630,6 +5761,10 @@
       auto ptr = reinterpret_cast<const sequoiastep::wire::BodyChunk *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::Shorten: {
+      auto ptr = reinterpret_cast<const sequoiastep::wire::Shorten *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -5725,6 +5860,10 @@
       auto ptr = reinterpret_cast<const sequoiastep::wire::BodyChunk *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::Shorten: {
+      auto ptr = reinterpret_cast<const sequoiastep::wire::Shorten *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -5808,6 +5947,10 @@
       auto ptr = reinterpret_cast<const sequoiastep::wire::BodyChunkT *>(value);
       return CreateBodyChunk(_fbb, ptr, _rehasher).Union();
     }
+    case Body::Shorten: {
+      auto ptr = reinterpret_cast<const sequoiastep::wire::ShortenT *>(value);
+      return CreateShorten(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -5890,6 +6033,10 @@
       value = new sequoiastep::wire::BodyChunkT(*reinterpret_cast<sequoiastep::wire::BodyChunkT *>(u.value));
       break;
     }
+    case Body::Shorten: {
+      value = new sequoiastep::wire::ShortenT(*reinterpret_cast<sequoiastep::wire::ShortenT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -5992,6 +6139,11 @@
       delete ptr;
       break;
     }
+    case Body::Shorten: {
+      auto ptr = reinterpret_cast<sequoiastep::wire::ShortenT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
--- a/modules/wire/src/Frame.cpp
+++ b/modules/wire/src/Frame.cpp
@@ -25,7 +25,8 @@
 IsCallMessage(Body aType)
 {
   return aType == Body::Call || aType == Body::Answer || aType == Body::Cancel ||
-         aType == Body::Probe || aType == Body::BodyGrant || aType == Body::BodyChunk;
+         aType == Body::Probe || aType == Body::BodyGrant || aType == Body::BodyChunk ||
+         aType == Body::Shorten;
 }
 
 void
