--- a/modules/distribution/src/ControllerDepartures.cpp
+++ b/modules/distribution/src/ControllerDepartures.cpp
@@ -93,4 +93,18 @@
   });
 }
 
+void
+RecallOwnEntry(StepContext& aContext, const Member& aEntry)
+{
+  const Controller& controller = aContext.m_controller;
+  if (aEntry.m_node != controller.m_table.m_self) {
+    return;
+  }
+  const bool ofPredecessor = aEntry.m_incarnation != Self(controller).m_incarnation;
+  if (ofPredecessor || !aEntry.m_departures.empty()) {
+    aContext.m_actions.emplace_back(
+      OwnEntryRecalled{ .m_departures = aEntry.m_departures, .m_ofPredecessor = ofPredecessor });
+  }
+}
+
 } // namespace sequoiastep::distribution
--- a/modules/distribution/src/ControllerMembers.cpp
+++ b/modules/distribution/src/ControllerMembers.cpp
@@ -88,26 +88,6 @@
   controller.m_memberOutbox.insert_or_assign(aMember.m_node, aMember);
 }
 
-namespace {
-
-// Takes up what peers remember of this node's entry: the process before may have acknowledged that
-// targets leave.
-void
-RecallOwnEntry(StepContext& aContext, const Member& aEntry)
-{
-  const Controller& controller = aContext.m_controller;
-  if (aEntry.m_node != controller.m_table.m_self) {
-    return;
-  }
-  const bool ofPredecessor = aEntry.m_incarnation != Self(controller).m_incarnation;
-  if (ofPredecessor || !aEntry.m_departures.empty()) {
-    aContext.m_actions.emplace_back(
-      OwnEntryRecalled{ .m_departures = aEntry.m_departures, .m_ofPredecessor = ofPredecessor });
-  }
-}
-
-} // namespace
-
 void
 AnnounceSelf(StepContext& aContext, const Member& aEntry)
 {
--- a/modules/distribution/src/ControllerPriv.h
+++ b/modules/distribution/src/ControllerPriv.h
@@ -171,6 +171,10 @@
 /// Handles a heartbeat of aNode that echoes a nonce.
 void
 HandleDepartureEcho(StepContext& aContext, std::string_view aNode, std::uint64_t aNonce);
+/// Takes up what a peer remembers of this node's own entry; entries of other nodes are ignored. The
+/// process before may have acknowledged that targets leave.
+void
+RecallOwnEntry(StepContext& aContext, const membership::Member& aEntry);
 
 // ControllerMembers.cpp
 void
--- a/modules/membership/src/Members.cpp
+++ b/modules/membership/src/Members.cpp
@@ -3,6 +3,7 @@
 #include "Hash.h"
 #include "NameTable.h"
 #include "RequestLimit.h"
+#include "StartTime.h"
 
 #include <algorithm>
 #include <tuple>
@@ -19,16 +20,14 @@
   { MemberState::Gone, "gone" },
 } };
 
-// On the wire 0 stands for a start time that is not known.
-constexpr std::int64_t kUnknownBornMs = 0;
-
 std::uint64_t
 EntryDigest(const Member& aMember)
 {
   std::uint64_t digest = Hash64(aMember.m_node, aMember.m_incarnation);
   digest ^= (std::uint64_t{ aMember.m_counter } << 8) | static_cast<std::uint8_t>(aMember.m_state);
   for (const Departure& departure : aMember.m_departures) {
-    digest ^= Hash64(departure.m_id, static_cast<std::uint64_t>(departure.m_bornMs.value_or(0)));
+    digest ^=
+      Hash64(departure.m_id, static_cast<std::uint64_t>(wire::EncodeStartTime(departure.m_bornMs)));
   }
   return Hash64({ reinterpret_cast<const char*>(&digest), sizeof digest });
 }
@@ -45,6 +44,8 @@
     record.m_upSince = sameTarget ? old->second.m_upSince : aNow;
     record.m_stateSince = before.m_state == aEntry.m_state ? old->second.m_stateSince : aNow;
     MergeDepartures(record.m_member.m_departures, before.m_departures);
+  } else {
+    MergeDepartures(record.m_member.m_departures, {}); // Sorts and bounds what a peer sent.
   }
   aTable.m_members[aEntry.m_node] = std::move(record);
 }
@@ -167,7 +168,7 @@
   for (const Departure& departure : aMember.m_departures) {
     auto left = std::make_unique<wire::DepartureT>();
     left->id = departure.m_id;
-    left->born_ms = departure.m_bornMs.value_or(kUnknownBornMs);
+    left->born_ms = wire::EncodeStartTime(departure.m_bornMs);
     entry.departures.push_back(std::move(left));
   }
   return entry;
@@ -178,9 +179,7 @@
 {
   std::vector<Departure> departures;
   for (const auto& left : aEntry.departures) {
-    const bool known = left->born_ms != kUnknownBornMs;
-    departures.push_back(
-      { .m_id = left->id, .m_bornMs = known ? std::optional(left->born_ms) : std::nullopt });
+    departures.push_back({ .m_id = left->id, .m_bornMs = wire::DecodeStartTime(left->born_ms) });
   }
   return { .m_node = aEntry.node,
            .m_incarnation = aEntry.incarnation,
--- a/modules/node/src/CallProxy.cpp
+++ b/modules/node/src/CallProxy.cpp
@@ -428,7 +428,8 @@
   StopDebts debts{ .m_callerConnections = m_callerServer.OwedConnections(),
                    .m_callerRequests = m_callerRequests,
                    .m_inboundCalls = m_inboundCalls,
-                   .m_targetRequests = m_runner.Outstanding() };
+                   .m_targetRequests = m_runner.Outstanding(),
+                   .m_targetReports = m_targetServer.OwedConnections() };
   if (debts.IsClear()) {
     debts.m_undeliveredBytes = UndeliveredBytes();
   }
--- a/modules/node/src/CallProxy.h
+++ b/modules/node/src/CallProxy.h
@@ -49,6 +49,8 @@
   std::uint32_t m_inboundCalls = 0;
   /// Requests that run or wait at the target beside this node.
   std::uint32_t m_targetRequests = 0;
+  /// Connections on which that target waits for the answer to its report.
+  std::size_t m_targetReports = 0;
   /// Bytes of answers that other nodes have yet to receive; counted once nothing else is owed.
   std::size_t m_undeliveredBytes = 0;
 
--- a/modules/node/src/Node.cpp
+++ b/modules/node/src/Node.cpp
@@ -187,6 +187,7 @@
       .Add("caller_requests", aDebts.m_callerRequests)
       .Add("inbound_calls", aDebts.m_inboundCalls)
       .Add("target_requests", aDebts.m_targetRequests)
+      .Add("target_reports", aDebts.m_targetReports)
       .Add("undelivered_bytes", aDebts.m_undeliveredBytes)
       .Add("remedy", clear ? "none" : "if requests take longer, increase timings.drain_ms");
   }
--- a/modules/node/src/TargetApi.cpp
+++ b/modules/node/src/TargetApi.cpp
@@ -279,13 +279,13 @@
 void
 TargetApi::HandleProbe(const TargetReport& aReport)
 {
-  m_ttlMs = kHeartbeatTtlMs;
   const ReportOutcome outcome = routing::ApplyProbe(m_record, aReport, Clock::Now());
   LogLine(LogLevel::Info, "target_probed")
     .Add("target", aReport.m_id)
     .Add("service", aReport.m_service)
     .Add("used", outcome == ReportOutcome::Outdated ? "no" : "yes");
   if (outcome != ReportOutcome::Outdated) {
+    m_ttlMs = kHeartbeatTtlMs;
     m_hooks.m_onChange(m_record.m_newest);
   }
 }
--- a/modules/routing/src/TargetRecord.cpp
+++ b/modules/routing/src/TargetRecord.cpp
@@ -142,7 +142,9 @@
     return ReportOutcome::Outdated;
   }
   if (NeedsConfirmation(aRecord, aReport, aNow)) {
-    aRecord.m_unconfirmed = aReport;
+    if (!aRecord.m_unconfirmed || aReport.m_sequence > aRecord.m_unconfirmed->m_sequence) {
+      aRecord.m_unconfirmed = aReport;
+    }
     return ReportOutcome::Unconfirmed;
   }
   const ReportOutcome outcome = ApplyConfirmed(aRecord, aReport, aNow);
