--- a/modules/routing/include/TargetNotice.h
+++ b/modules/routing/include/TargetNotice.h
@@ -45,9 +45,7 @@
 
 /// Sets the target's incarnation. The notice is dropped if it is another one.
 void
-SetIncarnation(NoticeRecord& aRecord,
-               const std::string& aId,
-               std::optional<std::int64_t> aBornMs);
+SetIncarnation(NoticeRecord& aRecord, const std::string& aId, std::optional<std::int64_t> aBornMs);
 
 /// Applies the notice of a response of the current incarnation. A response that was under way may
 /// be overtaken, so that one without it does not take back that the target leaves.
