Let runs at work go on as long before a stop cuts them as they did before

With 48 nodes stopping one after the other, a run at a node that stops first is lost to a caller of one that stopped later and has most of its time left. Change: answers are due at 0.93 of the time (5.58 s), connections close at 0.95 as before; the stop of the target's own node no longer shortens the time that a started run has.

--- a/modules/node/src/TargetRunner.cpp
+++ b/modules/node/src/TargetRunner.cpp
@@ -163,14 +163,6 @@
   }
 }
 
-// When a run must have ended: at its deadline, or earlier if a node on its way stops before.
-Instant
-TargetRunner::LatestEnd(Instant aDeadline, const TargetRun& aRun) const
-{
-  const Instant answerBy = aRun.m_answerBy.value_or(aDeadline);
-  return std::min({ aDeadline, answerBy, m_admissionQueue.m_closesAt.value_or(aDeadline) });
-}
-
 std::uint32_t
 TargetRunner::Outstanding() const
 {
@@ -382,7 +374,8 @@
 TargetRunner::Dispatch(const CallT& aCall, Instant aDeadline, std::shared_ptr<TargetRun> aRun)
 {
   // Checked again just before sending, since the process may have been paused meanwhile.
-  const Milliseconds left = LatestEnd(aDeadline, *aRun) - Clock::Now();
+  const Instant latestEnd = std::min(aDeadline, aRun->m_answerBy.value_or(aDeadline));
+  const Milliseconds left = latestEnd - Clock::Now();
   if (left <= 0) {
     co_return MakeRefusal("the deadline passed in the queue", false);
   }
--- a/modules/node/src/TargetRunner.h
+++ b/modules/node/src/TargetRunner.h
@@ -97,7 +97,6 @@
   net::Awaitable<wire::AnswerT> RunAdmitted(const wire::CallT& aCall,
                                             std::string aCaller,
                                             std::shared_ptr<TargetRun> aRun);
-  Instant LatestEnd(Instant aDeadline, const TargetRun& aRun) const;
   net::Awaitable<routing::AdmissionResult> Admit(routing::AdmissionRequest aRequest);
   routing::AdmissionRequest MakeAdmissionRequest(const wire::CallT& aCall, std::string aCaller);
   net::Awaitable<wire::AnswerT> Dispatch(const wire::CallT& aCall,
--- a/modules/routing/src/DrainPlan.cpp
+++ b/modules/routing/src/DrainPlan.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 // Shares of the total time. The rest after each is for the answers, their delivery and the exit.
-constexpr double kAnswerShare = 0.9;
+constexpr double kAnswerShare = 0.93;
 constexpr double kCloseShare = 0.95;
 // Time for an answer's way between two nodes, at most this share of the total.
 constexpr Milliseconds kAnswerWayMs = 100;
