Look at pending departures before the links; say once when an idle connection closes

Each heartbeat walked the links for the confirmation of a departure, though almost none is pending: it now returns at once without a nonce or a pending one. ClosesNow tested for exchanges twice. Behaviour is unchanged.

--- a/modules/distribution/src/ControllerDepartures.cpp
+++ b/modules/distribution/src/ControllerDepartures.cpp
@@ -80,11 +80,14 @@
 HandleDepartureEcho(StepContext& aContext, std::string_view aNode, std::uint64_t aNonce)
 {
   Controller& controller = aContext.m_controller;
+  if (aNonce == 0 || controller.m_pendingDepartures.empty()) {
+    return; // As most heartbeats.
+  }
   if (!IsInOtherDomain(controller, aNode) && IsLinkedToOtherDomain(controller)) {
     return;
   }
   std::erase_if(controller.m_pendingDepartures, [&](const PendingDeparture& aPending) {
-    if (aNonce == 0 || aPending.m_nonce != aNonce) {
+    if (aPending.m_nonce != aNonce) {
       return false;
     }
     aContext.m_actions.emplace_back(
--- a/modules/net/src/HttpServer.cpp
+++ b/modules/net/src/HttpServer.cpp
@@ -389,9 +389,9 @@
 bool
 ClosesNow(const HttpServerState& aState, const Connection& aConnection)
 {
-  const bool idle = aConnection.m_exchanges.empty() && aConnection.m_betweenRequests;
-  return (aConnection.m_exchanges.empty() && (aConnection.m_readerDone || aConnection.m_closing)) ||
-         (aState.m_stopping && idle);
+  const bool stopsIdle = aState.m_stopping && aConnection.m_betweenRequests;
+  return aConnection.m_exchanges.empty() &&
+         (aConnection.m_readerDone || aConnection.m_closing || stopsIdle);
 }
 
 Awaitable<void>
