--- a/modules/config/include/Documents.h
+++ b/modules/config/include/Documents.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "Error.h"
+#include "Workspaces.h"
 
 #include <boost/json/object.hpp>
 #include <boost/json/value.hpp>
@@ -86,6 +87,8 @@
   std::uint32_t m_priority = 0;
   /// Whether its answers are large and should therefore come from a nearby target.
   bool m_largeAnswers = false;
+  /// Requests need no key of a workspace.
+  bool m_public = false;
 };
 
 /// Size limits on a caller's requests, and its header and idle timeouts.
@@ -110,6 +113,8 @@
   std::map<std::string, std::vector<std::size_t>, std::less<>> m_routesByHost;
   /// Not set if the node's own settings limit callers.
   std::optional<CallerLimits> m_callerLimits;
+  /// Workspaces of callers. If there is none, requests need no key.
+  WorkspaceTable m_workspaces;
 };
 
 /// Sorts the routes and indexes them by host. Call once, after all routes have been added.
--- a/modules/config/src/EffectiveConfig.cpp
+++ b/modules/config/src/EffectiveConfig.cpp
@@ -17,6 +17,7 @@
 constexpr NumberRule kMaxAttemptsRule{ .m_default = 3, .m_min = 1, .m_max = 16 };
 constexpr NumberRule kPriorityRule{ .m_default = 1, .m_min = 0, .m_max = 1000 };
 constexpr NumberRule kWeightRule{ .m_default = 1, .m_min = 0, .m_max = 1'000'000 };
+constexpr RealRule kQuotaRule{ .m_default = 0, .m_min = 0, .m_max = 1e9 };
 
 // A member of `services` or `clusters`, with its path for messages.
 struct NamedObject
@@ -68,6 +69,22 @@
                   .m_crossRegion = crossRegion };
 }
 
+Result<Workspace>
+ReadWorkspace(const NamedObject& aNamed)
+{
+  ObjectReader reader(*aNamed.m_object, aNamed.m_path, ErrorKind::BadDocument);
+  Workspace workspace{ .m_name = aNamed.m_name };
+  BOOST_LEAF_ASSIGN(workspace.m_keys, reader.TextList("keys"));
+  if (aNamed.m_object->contains("priority")) {
+    BOOST_LEAF_AUTO(priority, reader.Number("priority", kPriorityRule));
+    workspace.m_priority = static_cast<std::uint32_t>(priority);
+  }
+  BOOST_LEAF_ASSIGN(workspace.m_ratePerSecond, reader.Real("rate_per_s", kQuotaRule));
+  BOOST_LEAF_ASSIGN(workspace.m_burst, reader.Real("burst", kQuotaRule));
+  BOOST_LEAF_CHECK(reader.RejectUnknownKeys());
+  return workspace;
+}
+
 // `weighted` is a list of objects, which ObjectReader can't read.
 Result<std::vector<WeightedCluster>>
 ReadWeightedClusters(const json::value& aList, const std::string& aPath)
@@ -115,6 +132,7 @@
   BOOST_LEAF_AUTO(maxAttempts, reader.Number("max_attempts", kMaxAttemptsRule));
   BOOST_LEAF_AUTO(priority, reader.Number("priority", kPriorityRule));
   BOOST_LEAF_AUTO(largeAnswers, reader.Flag("large_answers", false));
+  BOOST_LEAF_AUTO(isPublic, reader.Flag("public", false));
   if (clusters.empty()) {
     BOOST_LEAF_AUTO(cluster, reader.Text("cluster"));
     clusters.push_back({ .m_cluster = std::move(cluster), .m_weight = 1 });
@@ -138,7 +156,8 @@
                 .m_objectiveMs = static_cast<std::uint32_t>(objectiveMs),
                 .m_maxAttempts = static_cast<std::uint32_t>(maxAttempts),
                 .m_priority = static_cast<std::uint32_t>(priority),
-                .m_largeAnswers = largeAnswers };
+                .m_largeAnswers = largeAnswers,
+                .m_public = isPublic };
 }
 
 Result<void>
@@ -178,6 +197,7 @@
   BOOST_LEAF_ASSIGN(aEffective.m_failureDomains, reader.TextList("failure_domains"));
   BOOST_LEAF_AUTO(services, reader.Object("services"));
   BOOST_LEAF_AUTO(clusters, reader.Object("clusters"));
+  BOOST_LEAF_AUTO(workspaces, reader.Object("workspaces"));
   BOOST_LEAF_CHECK(reader.RejectUnknownKeys());
   BOOST_LEAF_AUTO(namedServices, ReadNamedObjects(services, aPath + ".services"));
   for (const NamedObject& named : namedServices) {
@@ -189,6 +209,12 @@
     BOOST_LEAF_AUTO(cluster, ReadCluster(named));
     aEffective.m_clusters.emplace(named.m_name, std::move(cluster));
   }
+  BOOST_LEAF_AUTO(namedWorkspaces, ReadNamedObjects(workspaces, aPath + ".workspaces"));
+  for (const NamedObject& named : namedWorkspaces) {
+    BOOST_LEAF_AUTO(workspace, ReadWorkspace(named));
+    aEffective.m_workspaces.m_byName.emplace(named.m_name, std::move(workspace));
+  }
+  BOOST_LEAF_CHECK(IndexKeys(aEffective.m_workspaces, aPath));
   return ReadRoutes(hasRoutes ? &routes : nullptr, aPath, aEffective);
 }
 
--- a/modules/distribution/include/Events.h
+++ b/modules/distribution/include/Events.h
@@ -136,6 +136,8 @@
   bool m_draining = false;
   /// Requests per second that it accepts from all nodes together; none if it named no limit.
   std::optional<double> m_perSecond;
+  /// Software version; empty if it reported none.
+  std::string m_version;
 };
 
 /// A target of this host leaves. Answered by DepartureKept with the same request number once a peer
--- a/modules/distribution/src/Controller.cpp
+++ b/modules/distribution/src/Controller.cpp
@@ -59,6 +59,7 @@
   entry.m_slots = aChange.m_slots;
   entry.m_warmUpMs = aChange.m_warmUpMs;
   entry.m_perSecond = aChange.m_perSecond;
+  entry.m_version = aChange.m_version;
   if (controller.m_phase == JoinPhase::Joined && !controller.m_left) {
     const bool draining = aChange.m_draining || controller.m_draining;
     entry.m_state = draining ? MemberState::Draining : MemberState::Up;
--- a/modules/membership/include/Members.h
+++ b/modules/membership/include/Members.h
@@ -54,6 +54,8 @@
   /// Targets of the host that left. They outlive the process that acknowledged them: versions of
   /// the entry are merged in this, whichever overrides the other.
   std::vector<Departure> m_departures;
+  /// Software version of the target; empty if it reported none.
+  std::string m_version;
 };
 
 /// A member's entry and when this node saw it change.
--- a/modules/membership/src/Members.cpp
+++ b/modules/membership/src/Members.cpp
@@ -171,6 +171,7 @@
     left->born_ms = wire::EncodeStartTime(departure.m_bornMs);
     entry.departures.push_back(std::move(left));
   }
+  entry.version = aMember.m_version;
   return entry;
 }
 
@@ -192,7 +193,8 @@
            .m_slots = aEntry.slots,
            .m_warmUpMs = aEntry.warm_up_ms,
            .m_perSecond = wire::DecodeLimit(aEntry.per_second),
-           .m_departures = std::move(departures) };
+           .m_departures = std::move(departures),
+           .m_version = aEntry.version };
 }
 
 } // namespace sequoiastep::membership
--- a/modules/node/include/Settings.h
+++ b/modules/node/include/Settings.h
@@ -6,6 +6,7 @@
 #include "Log.h"
 
 #include <cstdint>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -90,6 +91,28 @@
   std::uint64_t m_windowMs = 10'000;
 };
 
+/// Tolerances of the workspaces' quotas, which hold over all nodes together.
+struct Quotas
+{
+  /// Length of the sliding window in which requests are counted, in milliseconds.
+  std::uint64_t m_windowMs = 5000;
+  /// Requests that may run in a window beyond its quota: this share of it, and m_slack more.
+  double m_over = 0.1;
+  std::uint64_t m_slack = 20;
+};
+
+/// Bounds of a roll-out of a new version of a service, over all nodes together.
+struct Rollouts
+{
+  /// Most requests that reach a version before it is known to be good: this share of all requests
+  /// for the service from the order to its deadline, and m_slack more.
+  double m_share = 0.1;
+  std::uint64_t m_slack = 50;
+  /// Longest time from the evidence that a version is bad to the last request sent to it, in
+  /// milliseconds.
+  std::uint64_t m_rollbackMs = 5000;
+};
+
 /// All settings of a node. Addresses have the form IP:PORT.
 struct Settings
 {
@@ -123,6 +146,10 @@
   Timings m_timings;
   Links m_links;
   Retries m_retries;
+  /// Quotas of workspaces are not enforced without this section.
+  std::optional<Quotas> m_quotas;
+  /// Versions of targets are ignored without this section.
+  std::optional<Rollouts> m_rollouts;
 };
 
 /// Parses and checks the text of a settings file.
--- a/modules/node/src/CallProxy.cpp
+++ b/modules/node/src/CallProxy.cpp
@@ -145,7 +145,8 @@
                .m_slots = target->m_slots,
                .m_warmUpMs = target->m_warmUpMs,
                .m_draining = m_runner.IsLeaving(),
-               .m_perSecond = m_runner.Notice().m_perSecond };
+               .m_perSecond = m_runner.Notice().m_perSecond,
+               .m_version = m_settings.m_rollouts ? target->m_version : std::string() };
   }
   m_notifyControl(std::move(change));
 }
--- a/modules/node/src/ControlPlane.cpp
+++ b/modules/node/src/ControlPlane.cpp
@@ -402,7 +402,8 @@
                                                    .m_warmUpMs = member.m_warmUpMs,
                                                    .m_upSince = record.m_upSince,
                                                    .m_suspect = suspect,
-                                                   .m_perSecond = member.m_perSecond });
+                                                   .m_perSecond = member.m_perSecond,
+                                                   .m_version = member.m_version });
   }
   m_shared.m_view.store(std::move(view));
 }
--- a/modules/node/src/Settings.cpp
+++ b/modules/node/src/Settings.cpp
@@ -151,6 +151,40 @@
   return reader.RejectUnknownKeys();
 }
 
+Result<std::optional<Quotas>>
+ReadQuotas(const json::object* aObject)
+{
+  if (aObject == nullptr) {
+    return std::optional<Quotas>();
+  }
+  constexpr NumberRule kWindowRule{ .m_default = 5000, .m_min = 1000, .m_max = 600'000 };
+  constexpr NumberRule kSlackRule{ .m_default = 20, .m_min = 0, .m_max = 1'000'000 };
+  Quotas quotas;
+  ObjectReader reader = MakeReader(aObject, "quotas");
+  BOOST_LEAF_ASSIGN(quotas.m_windowMs, reader.Number("window_ms", kWindowRule));
+  BOOST_LEAF_ASSIGN(quotas.m_over, reader.Fraction("over", quotas.m_over));
+  BOOST_LEAF_ASSIGN(quotas.m_slack, reader.Number("slack", kSlackRule));
+  BOOST_LEAF_CHECK(reader.RejectUnknownKeys());
+  return std::optional(quotas);
+}
+
+Result<std::optional<Rollouts>>
+ReadRollouts(const json::object* aObject)
+{
+  if (aObject == nullptr) {
+    return std::optional<Rollouts>();
+  }
+  constexpr NumberRule kSlackRule{ .m_default = 50, .m_min = 0, .m_max = 1'000'000 };
+  constexpr NumberRule kRollbackRule{ .m_default = 5000, .m_min = 100, .m_max = 600'000 };
+  Rollouts rollouts;
+  ObjectReader reader = MakeReader(aObject, "rollouts");
+  BOOST_LEAF_ASSIGN(rollouts.m_share, reader.Fraction("share", rollouts.m_share));
+  BOOST_LEAF_ASSIGN(rollouts.m_slack, reader.Number("slack", kSlackRule));
+  BOOST_LEAF_ASSIGN(rollouts.m_rollbackMs, reader.Number("rollback_ms", kRollbackRule));
+  BOOST_LEAF_CHECK(reader.RejectUnknownKeys());
+  return std::optional(rollouts);
+}
+
 Result<void>
 ReadAdmin(const json::object* aObject, Settings& aSettings)
 {
@@ -252,6 +286,8 @@
   BOOST_LEAF_AUTO(timings, reader.Object("timings"));
   BOOST_LEAF_AUTO(links, reader.Object("links"));
   BOOST_LEAF_AUTO(retries, reader.Object("retries"));
+  BOOST_LEAF_AUTO(quotas, reader.Object("quotas"));
+  BOOST_LEAF_AUTO(rollouts, reader.Object("rollouts"));
   BOOST_LEAF_CHECK(reader.RejectUnknownKeys());
   BOOST_LEAF_ASSIGN(settings.m_callerListen, ReadListen(sections[0], "caller"));
   BOOST_LEAF_CHECK(ReadTarget(sections[1], settings));
@@ -262,6 +298,8 @@
   BOOST_LEAF_CHECK(ReadLog(log, settings));
   BOOST_LEAF_CHECK(ReadMetrics(metrics, settings));
   BOOST_LEAF_CHECK(ReadRetries(retries, settings));
+  BOOST_LEAF_ASSIGN(settings.m_quotas, ReadQuotas(quotas));
+  BOOST_LEAF_ASSIGN(settings.m_rollouts, ReadRollouts(rollouts));
   BOOST_LEAF_ASSIGN(settings.m_limits, ReadNumbers(limits, "limits", kLimitFields));
   BOOST_LEAF_ASSIGN(settings.m_timings, ReadNumbers(timings, "timings", kTimingFields));
   BOOST_LEAF_ASSIGN(settings.m_links, ReadNumbers(links, "links", kLinkFields));
@@ -288,7 +326,7 @@
   for (const std::string& hint : aSettings.m_peerHints) {
     hints.emplace_back(hint);
   }
-  const json::object object{
+  json::object object{
     { "mesh", aSettings.m_mesh },
     { "node", aSettings.m_node },
     { "region", aSettings.m_region },
@@ -319,6 +357,16 @@
         { "share", aSettings.m_retries.m_share },
         { "window_ms", aSettings.m_retries.m_windowMs } } },
   };
+  if (aSettings.m_quotas) {
+    object["quotas"] = { { "window_ms", aSettings.m_quotas->m_windowMs },
+                         { "over", aSettings.m_quotas->m_over },
+                         { "slack", aSettings.m_quotas->m_slack } };
+  }
+  if (aSettings.m_rollouts) {
+    object["rollouts"] = { { "share", aSettings.m_rollouts->m_share },
+                           { "slack", aSettings.m_rollouts->m_slack },
+                           { "rollback_ms", aSettings.m_rollouts->m_rollbackMs } };
+  }
   return json::serialize(object);
 }
 
--- a/modules/node/src/TargetApi.cpp
+++ b/modules/node/src/TargetApi.cpp
@@ -52,6 +52,7 @@
   BOOST_LEAF_AUTO(warmUp, reader.Number("warm_up_ms", kWarmUpRule));
   BOOST_LEAF_AUTO(ttl, reader.Number("ttl_ms", kTtlRule));
   BOOST_LEAF_AUTO(state, reader.TextOr("state", "up"));
+  BOOST_LEAF_ASSIGN(report.m_version, reader.TextOr("version", ""));
   BOOST_LEAF_CHECK(reader.RejectUnknownKeys());
   BOOST_LEAF_CHECK(net::ParseAddress(report.m_address));
   if (state != "up" && state != "draining") {
--- a/modules/routing/include/Picker.h
+++ b/modules/routing/include/Picker.h
@@ -46,6 +46,8 @@
   bool m_suspect = false;
   /// Requests per second that it accepts from all nodes together; none if it named no limit.
   std::optional<double> m_perSecond;
+  /// Software version of the target; empty if it reported none.
+  std::string m_version;
 };
 
 /// Load of a target, which the node beside it sends with each answer.
--- a/modules/routing/include/TargetRecord.h
+++ b/modules/routing/include/TargetRecord.h
@@ -31,6 +31,8 @@
   std::uint32_t m_warmUpMs = 0;
   /// It accepts no new requests from now on.
   bool m_leaving = false;
+  /// Software version; empty if the target reported none.
+  std::string m_version;
 };
 
 /// A departure and when this node learned of it.
--- a/modules/routing/src/TargetRecord.cpp
+++ b/modules/routing/src/TargetRecord.cpp
@@ -15,7 +15,7 @@
 {
   return aLeft.m_service == aRight.m_service && aLeft.m_address == aRight.m_address &&
          aLeft.m_slots == aRight.m_slots && aLeft.m_leaving == aRight.m_leaving &&
-         (aLeft.m_warmUpMs == 0) == (aRight.m_warmUpMs == 0);
+         aLeft.m_version == aRight.m_version && (aLeft.m_warmUpMs == 0) == (aRight.m_warmUpMs == 0);
 }
 
 // An id whose start time is not known on one side is taken for the same incarnation.
--- a/modules/wire/include/Messages_generated.h
+++ b/modules/wire/include/Messages_generated.h
@@ -128,6 +128,30 @@
 struct ShortenBuilder;
 struct ShortenT;
 
+struct QuotaAsk;
+struct QuotaAskBuilder;
+struct QuotaAskT;
+
+struct QuotaGrant;
+struct QuotaGrantBuilder;
+struct QuotaGrantT;
+
+struct RolloutEntry;
+struct RolloutEntryBuilder;
+struct RolloutEntryT;
+
+struct RolloutUpdate;
+struct RolloutUpdateBuilder;
+struct RolloutUpdateT;
+
+struct RouteEvidence;
+struct RouteEvidenceBuilder;
+struct RouteEvidenceT;
+
+struct RolloutEvidence;
+struct RolloutEvidenceBuilder;
+struct RolloutEvidenceT;
+
 struct Envelope;
 struct EnvelopeBuilder;
 struct EnvelopeT;
@@ -314,6 +338,43 @@
   return EnumNamesPublishOutcome()[index];
 }
 
+/// Phase of a roll-out. Phases from Completed on are final.
+enum class RolloutPhase : uint8_t {
+  Trial = 0,
+  Shifting = 1,
+  Completed = 2,
+  RolledBack = 3,
+  MIN = Trial,
+  MAX = RolledBack
+};
+
+inline const RolloutPhase (&EnumValuesRolloutPhase())[4] {
+  static const RolloutPhase values[] = {
+    RolloutPhase::Trial,
+    RolloutPhase::Shifting,
+    RolloutPhase::Completed,
+    RolloutPhase::RolledBack
+  };
+  return values;
+}
+
+inline const char * const *EnumNamesRolloutPhase() {
+  static const char * const names[5] = {
+    "Trial",
+    "Shifting",
+    "Completed",
+    "RolledBack",
+    nullptr
+  };
+  return names;
+}
+
+inline const char *EnumNameRolloutPhase(RolloutPhase e) {
+  if (flatbuffers::IsOutRange(e, RolloutPhase::Trial, RolloutPhase::RolledBack)) return "";
+  const size_t index = static_cast<size_t>(e);
+  return EnumNamesRolloutPhase()[index];
+}
+
 enum class Body : uint8_t {
   NONE = 0,
   Hello = 1,
@@ -336,11 +397,15 @@
   BodyGrant = 18,
   BodyChunk = 19,
   Shorten = 20,
+  QuotaAsk = 21,
+  QuotaGrant = 22,
+  RolloutUpdate = 23,
+  RolloutEvidence = 24,
   MIN = NONE,
-  MAX = Shorten
+  MAX = RolloutEvidence
 };
 
-inline const Body (&EnumValuesBody())[21] {
+inline const Body (&EnumValuesBody())[25] {
   static const Body values[] = {
     Body::NONE,
     Body::Hello,
@@ -362,13 +427,17 @@
     Body::Probe,
     Body::BodyGrant,
     Body::BodyChunk,
-    Body::Shorten
+    Body::Shorten,
+    Body::QuotaAsk,
+    Body::QuotaGrant,
+    Body::RolloutUpdate,
+    Body::RolloutEvidence
   };
   return values;
 }
 
 inline const char * const *EnumNamesBody() {
-  static const char * const names[22] = {
+  static const char * const names[26] = {
     "NONE",
     "Hello",
     "Join",
@@ -390,13 +459,17 @@
     "BodyGrant",
     "BodyChunk",
     "Shorten",
+    "QuotaAsk",
+    "QuotaGrant",
+    "RolloutUpdate",
+    "RolloutEvidence",
     nullptr
   };
   return names;
 }
 
 inline const char *EnumNameBody(Body e) {
-  if (flatbuffers::IsOutRange(e, Body::NONE, Body::Shorten)) return "";
+  if (flatbuffers::IsOutRange(e, Body::NONE, Body::RolloutEvidence)) return "";
   const size_t index = static_cast<size_t>(e);
   return EnumNamesBody()[index];
 }
@@ -485,6 +558,22 @@
   static const Body enum_value = Body::Shorten;
 };
 
+template<> struct BodyTraits<sequoiastep::wire::QuotaAsk> {
+  static const Body enum_value = Body::QuotaAsk;
+};
+
+template<> struct BodyTraits<sequoiastep::wire::QuotaGrant> {
+  static const Body enum_value = Body::QuotaGrant;
+};
+
+template<> struct BodyTraits<sequoiastep::wire::RolloutUpdate> {
+  static const Body enum_value = Body::RolloutUpdate;
+};
+
+template<> struct BodyTraits<sequoiastep::wire::RolloutEvidence> {
+  static const Body enum_value = Body::RolloutEvidence;
+};
+
 template<typename T> struct BodyUnionTraits {
   static const Body enum_value = Body::NONE;
 };
@@ -569,6 +658,22 @@
   static const Body enum_value = Body::Shorten;
 };
 
+template<> struct BodyUnionTraits<sequoiastep::wire::QuotaAskT> {
+  static const Body enum_value = Body::QuotaAsk;
+};
+
+template<> struct BodyUnionTraits<sequoiastep::wire::QuotaGrantT> {
+  static const Body enum_value = Body::QuotaGrant;
+};
+
+template<> struct BodyUnionTraits<sequoiastep::wire::RolloutUpdateT> {
+  static const Body enum_value = Body::RolloutUpdate;
+};
+
+template<> struct BodyUnionTraits<sequoiastep::wire::RolloutEvidenceT> {
+  static const Body enum_value = Body::RolloutEvidence;
+};
+
 struct BodyUnion {
   Body type;
   void *value;
@@ -759,6 +864,38 @@
     return type == Body::Shorten ?
       reinterpret_cast<const sequoiastep::wire::ShortenT *>(value) : nullptr;
   }
+  sequoiastep::wire::QuotaAskT *AsQuotaAsk() {
+    return type == Body::QuotaAsk ?
+      reinterpret_cast<sequoiastep::wire::QuotaAskT *>(value) : nullptr;
+  }
+  const sequoiastep::wire::QuotaAskT *AsQuotaAsk() const {
+    return type == Body::QuotaAsk ?
+      reinterpret_cast<const sequoiastep::wire::QuotaAskT *>(value) : nullptr;
+  }
+  sequoiastep::wire::QuotaGrantT *AsQuotaGrant() {
+    return type == Body::QuotaGrant ?
+      reinterpret_cast<sequoiastep::wire::QuotaGrantT *>(value) : nullptr;
+  }
+  const sequoiastep::wire::QuotaGrantT *AsQuotaGrant() const {
+    return type == Body::QuotaGrant ?
+      reinterpret_cast<const sequoiastep::wire::QuotaGrantT *>(value) : nullptr;
+  }
+  sequoiastep::wire::RolloutUpdateT *AsRolloutUpdate() {
+    return type == Body::RolloutUpdate ?
+      reinterpret_cast<sequoiastep::wire::RolloutUpdateT *>(value) : nullptr;
+  }
+  const sequoiastep::wire::RolloutUpdateT *AsRolloutUpdate() const {
+    return type == Body::RolloutUpdate ?
+      reinterpret_cast<const sequoiastep::wire::RolloutUpdateT *>(value) : nullptr;
+  }
+  sequoiastep::wire::RolloutEvidenceT *AsRolloutEvidence() {
+    return type == Body::RolloutEvidence ?
+      reinterpret_cast<sequoiastep::wire::RolloutEvidenceT *>(value) : nullptr;
+  }
+  const sequoiastep::wire::RolloutEvidenceT *AsRolloutEvidence() const {
+    return type == Body::RolloutEvidence ?
+      reinterpret_cast<const sequoiastep::wire::RolloutEvidenceT *>(value) : nullptr;
+  }
 };
 
 bool VerifyBody(flatbuffers::Verifier &verifier, const void *obj, Body type);
@@ -1153,6 +1290,7 @@
   uint32_t warm_up_ms = 0;
   double per_second = -1.0;
   std::vector<std::unique_ptr<sequoiastep::wire::DepartureT>> departures{};
+  std::string version{};
   MemberEntryT() = default;
   MemberEntryT(const MemberEntryT &o);
   MemberEntryT(MemberEntryT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1175,7 +1313,8 @@
     VT_SLOTS = 20,
     VT_WARM_UP_MS = 22,
     VT_PER_SECOND = 24,
-    VT_DEPARTURES = 26
+    VT_DEPARTURES = 26,
+    VT_VERSION = 28
   };
   const flatbuffers::String *node() const {
     return GetPointer<const flatbuffers::String *>(VT_NODE);
@@ -1215,6 +1354,10 @@
   const flatbuffers::Vector<flatbuffers::Offset<sequoiastep::wire::Departure>> *departures() const {
     return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<sequoiastep::wire::Departure>> *>(VT_DEPARTURES);
   }
+  /// Software version of the target; empty if it reported none.
+  const flatbuffers::String *version() const {
+    return GetPointer<const flatbuffers::String *>(VT_VERSION);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_NODE) &&
@@ -1236,6 +1379,8 @@
            VerifyOffset(verifier, VT_DEPARTURES) &&
            verifier.VerifyVector(departures()) &&
            verifier.VerifyVectorOfTables(departures()) &&
+           VerifyOffset(verifier, VT_VERSION) &&
+           verifier.VerifyString(version()) &&
            verifier.EndTable();
   }
   MemberEntryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1283,6 +1428,9 @@
   void add_departures(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sequoiastep::wire::Departure>>> departures) {
     fbb_.AddOffset(MemberEntry::VT_DEPARTURES, departures);
   }
+  void add_version(flatbuffers::Offset<flatbuffers::String> version) {
+    fbb_.AddOffset(MemberEntry::VT_VERSION, version);
+  }
   explicit MemberEntryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1307,10 +1455,12 @@
     uint16_t slots = 0,
     uint32_t warm_up_ms = 0,
     double per_second = -1.0,
-    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sequoiastep::wire::Departure>>> departures = 0) {
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sequoiastep::wire::Departure>>> departures = 0,
+    flatbuffers::Offset<flatbuffers::String> version = 0) {
   MemberEntryBuilder builder_(_fbb);
   builder_.add_per_second(per_second);
   builder_.add_incarnation(incarnation);
+  builder_.add_version(version);
   builder_.add_departures(departures);
   builder_.add_warm_up_ms(warm_up_ms);
   builder_.add_service(service);
@@ -1342,13 +1492,15 @@
     uint16_t slots = 0,
     uint32_t warm_up_ms = 0,
     double per_second = -1.0,
-    const std::vector<flatbuffers::Offset<sequoiastep::wire::Departure>> *departures = nullptr) {
+    const std::vector<flatbuffers::Offset<sequoiastep::wire::Departure>> *departures = nullptr,
+    const char *version = nullptr) {
   auto node__ = node ? _fbb.CreateString(node) : 0;
   auto address__ = address ? _fbb.CreateString(address) : 0;
   auto region__ = region ? _fbb.CreateString(region) : 0;
   auto failure_domain__ = failure_domain ? _fbb.CreateString(failure_domain) : 0;
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto departures__ = departures ? _fbb.CreateVector<flatbuffers::Offset<sequoiastep::wire::Departure>>(*departures) : 0;
+  auto version__ = version ? _fbb.CreateString(version) : 0;
   return sequoiastep::wire::CreateMemberEntry(
       _fbb,
       node__,
@@ -1362,7 +1514,8 @@
       slots,
       warm_up_ms,
       per_second,
-      departures__);
+      departures__,
+      version__);
 }
 
 flatbuffers::Offset<MemberEntry> CreateMemberEntry(flatbuffers::FlatBufferBuilder &_fbb, const MemberEntryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -1680,6 +1833,7 @@
   uint64_t echo = 0;
   uint64_t operator_version = 0;
   uint64_t store_era = 0;
+  uint64_t rollout_digest = 0;
   HeartbeatT() = default;
   HeartbeatT(const HeartbeatT &o);
   HeartbeatT(HeartbeatT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -1699,7 +1853,8 @@
     VT_DOMAINS = 14,
     VT_ECHO = 16,
     VT_OPERATOR_VERSION = 18,
-    VT_STORE_ERA = 20
+    VT_STORE_ERA = 20,
+    VT_ROLLOUT_DIGEST = 22
   };
   uint64_t applied() const {
     return GetField<uint64_t>(VT_APPLIED, 0);
@@ -1730,6 +1885,10 @@
   uint64_t store_era() const {
     return GetField<uint64_t>(VT_STORE_ERA, 0);
   }
+  /// Digest of the sender's roll-out table; 0 if the table is empty.
+  uint64_t rollout_digest() const {
+    return GetField<uint64_t>(VT_ROLLOUT_DIGEST, 0);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_APPLIED, 8) &&
@@ -1744,6 +1903,7 @@
            VerifyField<uint64_t>(verifier, VT_ECHO, 8) &&
            VerifyField<uint64_t>(verifier, VT_OPERATOR_VERSION, 8) &&
            VerifyField<uint64_t>(verifier, VT_STORE_ERA, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ROLLOUT_DIGEST, 8) &&
            verifier.EndTable();
   }
   HeartbeatT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -1782,6 +1942,9 @@
   void add_store_era(uint64_t store_era) {
     fbb_.AddElement<uint64_t>(Heartbeat::VT_STORE_ERA, store_era, 0);
   }
+  void add_rollout_digest(uint64_t rollout_digest) {
+    fbb_.AddElement<uint64_t>(Heartbeat::VT_ROLLOUT_DIGEST, rollout_digest, 0);
+  }
   explicit HeartbeatBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -1803,8 +1966,10 @@
     flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sequoiastep::wire::DomainSummary>>> domains = 0,
     uint64_t echo = 0,
     uint64_t operator_version = 0,
-    uint64_t store_era = 0) {
+    uint64_t store_era = 0,
+    uint64_t rollout_digest = 0) {
   HeartbeatBuilder builder_(_fbb);
+  builder_.add_rollout_digest(rollout_digest);
   builder_.add_store_era(store_era);
   builder_.add_operator_version(operator_version);
   builder_.add_echo(echo);
@@ -1832,7 +1997,8 @@
     const std::vector<flatbuffers::Offset<sequoiastep::wire::DomainSummary>> *domains = nullptr,
     uint64_t echo = 0,
     uint64_t operator_version = 0,
-    uint64_t store_era = 0) {
+    uint64_t store_era = 0,
+    uint64_t rollout_digest = 0) {
   auto domains__ = domains ? _fbb.CreateVector<flatbuffers::Offset<sequoiastep::wire::DomainSummary>>(*domains) : 0;
   return sequoiastep::wire::CreateHeartbeat(
       _fbb,
@@ -1844,7 +2010,8 @@
       domains__,
       echo,
       operator_version,
-      store_era);
+      store_era,
+      rollout_digest);
 }
 
 flatbuffers::Offset<Heartbeat> CreateHeartbeat(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -3003,6 +3170,7 @@
   uint32_t most_wait_ms = 4294967295;
   std::unique_ptr<sequoiastep::wire::TargetNoticeT> remembered{};
   uint32_t body_size = 0;
+  std::string workspace{};
   CallT() = default;
   CallT(const CallT &o);
   CallT(CallT&&) FLATBUFFERS_NOEXCEPT = default;
@@ -3038,7 +3206,8 @@
     VT_ROUTE = 46,
     VT_MOST_WAIT_MS = 48,
     VT_REMEMBERED = 50,
-    VT_BODY_SIZE = 52
+    VT_BODY_SIZE = 52,
+    VT_WORKSPACE = 54
   };
   uint64_t id() const {
     return GetField<uint64_t>(VT_ID, 0);
@@ -3127,6 +3296,10 @@
   uint32_t body_size() const {
     return GetField<uint32_t>(VT_BODY_SIZE, 0);
   }
+  /// Workspace of the caller, which the sender authenticated; empty if it has none.
+  const flatbuffers::String *workspace() const {
+    return GetPointer<const flatbuffers::String *>(VT_WORKSPACE);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyField<uint64_t>(verifier, VT_ID, 8) &&
@@ -3165,6 +3338,8 @@
            VerifyOffset(verifier, VT_REMEMBERED) &&
            verifier.VerifyTable(remembered()) &&
            VerifyField<uint32_t>(verifier, VT_BODY_SIZE, 4) &&
+           VerifyOffset(verifier, VT_WORKSPACE) &&
+           verifier.VerifyString(workspace()) &&
            verifier.EndTable();
   }
   CallT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -3251,6 +3426,9 @@
   void add_body_size(uint32_t body_size) {
     fbb_.AddElement<uint32_t>(Call::VT_BODY_SIZE, body_size, 0);
   }
+  void add_workspace(flatbuffers::Offset<flatbuffers::String> workspace) {
+    fbb_.AddOffset(Call::VT_WORKSPACE, workspace);
+  }
   explicit CallBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -3288,7 +3466,8 @@
     flatbuffers::Offset<flatbuffers::String> route = 0,
     uint32_t most_wait_ms = 4294967295,
     flatbuffers::Offset<sequoiastep::wire::TargetNotice> remembered = 0,
-    uint32_t body_size = 0) {
+    uint32_t body_size = 0,
+    flatbuffers::Offset<flatbuffers::String> workspace = 0) {
   CallBuilder builder_(_fbb);
   builder_.add_sent_ms(sent_ms);
   builder_.add_parent_span(parent_span);
@@ -3296,6 +3475,7 @@
   builder_.add_trace_high(trace_high);
   builder_.add_version(version);
   builder_.add_id(id);
+  builder_.add_workspace(workspace);
   builder_.add_body_size(body_size);
   builder_.add_remembered(remembered);
   builder_.add_most_wait_ms(most_wait_ms);
@@ -3349,7 +3529,8 @@
     const char *route = nullptr,
     uint32_t most_wait_ms = 4294967295,
     flatbuffers::Offset<sequoiastep::wire::TargetNotice> remembered = 0,
-    uint32_t body_size = 0) {
+    uint32_t body_size = 0,
+    const char *workspace = nullptr) {
   auto service__ = service ? _fbb.CreateString(service) : 0;
   auto method__ = method ? _fbb.CreateString(method) : 0;
   auto target__ = target ? _fbb.CreateString(target) : 0;
@@ -3359,6 +3540,7 @@
   auto caller_service__ = caller_service ? _fbb.CreateString(caller_service) : 0;
   auto request_id__ = request_id ? _fbb.CreateString(request_id) : 0;
   auto route__ = route ? _fbb.CreateString(route) : 0;
+  auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
   return sequoiastep::wire::CreateCall(
       _fbb,
       id,
@@ -3385,7 +3567,8 @@
       route__,
       most_wait_ms,
       remembered,
-      body_size);
+      body_size,
+      workspace__);
 }
 
 flatbuffers::Offset<Call> CreateCall(flatbuffers::FlatBufferBuilder &_fbb, const CallT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -4026,125 +4209,934 @@
 
 flatbuffers::Offset<Shorten> CreateShorten(flatbuffers::FlatBufferBuilder &_fbb, const ShortenT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-struct EnvelopeT : public flatbuffers::NativeTable {
-  typedef Envelope TableType;
-  sequoiastep::wire::BodyUnion body{};
+struct QuotaAskT : public flatbuffers::NativeTable {
+  typedef QuotaAsk TableType;
+  uint64_t id = 0;
+  std::string workspace{};
+  uint32_t tokens = 0;
+  float demand_per_s = 0.0f;
 };
 
-struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
-  typedef EnvelopeT NativeTableType;
-  typedef EnvelopeBuilder Builder;
+/// Asks the owner of a workspace's quota for tokens.
+struct QuotaAsk FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QuotaAskT NativeTableType;
+  typedef QuotaAskBuilder Builder;
   struct Traits;
   enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
-    VT_BODY_TYPE = 4,
-    VT_BODY = 6
+    VT_ID = 4,
+    VT_WORKSPACE = 6,
+    VT_TOKENS = 8,
+    VT_DEMAND_PER_S = 10
   };
-  sequoiastep::wire::Body body_type() const {
-    return static_cast<sequoiastep::wire::Body>(GetField<uint8_t>(VT_BODY_TYPE, 0));
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
   }
-  const void *body() const {
-    return GetPointer<const void *>(VT_BODY);
+  const flatbuffers::String *workspace() const {
+    return GetPointer<const flatbuffers::String *>(VT_WORKSPACE);
   }
-  template<typename T> const T *body_as() const;
-  const sequoiastep::wire::Hello *body_as_Hello() const {
-    return body_type() == sequoiastep::wire::Body::Hello ? static_cast<const sequoiastep::wire::Hello *>(body()) : nullptr;
+  /// Tokens that the sender needs now or expects to need within one lifetime.
+  uint32_t tokens() const {
+    return GetField<uint32_t>(VT_TOKENS, 0);
   }
-  const sequoiastep::wire::Join *body_as_Join() const {
-    return body_type() == sequoiastep::wire::Body::Join ? static_cast<const sequoiastep::wire::Join *>(body()) : nullptr;
+  /// Requests of the workspace per second that entered at the sender lately.
+  float demand_per_s() const {
+    return GetField<float>(VT_DEMAND_PER_S, 0.0f);
   }
-  const sequoiastep::wire::JoinBusy *body_as_JoinBusy() const {
-    return body_type() == sequoiastep::wire::Body::JoinBusy ? static_cast<const sequoiastep::wire::JoinBusy *>(body()) : nullptr;
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyOffset(verifier, VT_WORKSPACE) &&
+           verifier.VerifyString(workspace()) &&
+           VerifyField<uint32_t>(verifier, VT_TOKENS, 4) &&
+           VerifyField<float>(verifier, VT_DEMAND_PER_S, 4) &&
+           verifier.EndTable();
   }
-  const sequoiastep::wire::JoinDone *body_as_JoinDone() const {
-    return body_type() == sequoiastep::wire::Body::JoinDone ? static_cast<const sequoiastep::wire::JoinDone *>(body()) : nullptr;
+  QuotaAskT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(QuotaAskT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<QuotaAsk> Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuotaAskT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct QuotaAskBuilder {
+  typedef QuotaAsk Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(QuotaAsk::VT_ID, id, 0);
   }
-  const sequoiastep::wire::Heartbeat *body_as_Heartbeat() const {
-    return body_type() == sequoiastep::wire::Body::Heartbeat ? static_cast<const sequoiastep::wire::Heartbeat *>(body()) : nullptr;
+  void add_workspace(flatbuffers::Offset<flatbuffers::String> workspace) {
+    fbb_.AddOffset(QuotaAsk::VT_WORKSPACE, workspace);
   }
-  const sequoiastep::wire::MemberUpdate *body_as_MemberUpdate() const {
-    return body_type() == sequoiastep::wire::Body::MemberUpdate ? static_cast<const sequoiastep::wire::MemberUpdate *>(body()) : nullptr;
+  void add_tokens(uint32_t tokens) {
+    fbb_.AddElement<uint32_t>(QuotaAsk::VT_TOKENS, tokens, 0);
   }
-  const sequoiastep::wire::MemberDigests *body_as_MemberDigests() const {
-    return body_type() == sequoiastep::wire::Body::MemberDigests ? static_cast<const sequoiastep::wire::MemberDigests *>(body()) : nullptr;
+  void add_demand_per_s(float demand_per_s) {
+    fbb_.AddElement<float>(QuotaAsk::VT_DEMAND_PER_S, demand_per_s, 0.0f);
   }
-  const sequoiastep::wire::Accusation *body_as_Accusation() const {
-    return body_type() == sequoiastep::wire::Body::Accusation ? static_cast<const sequoiastep::wire::Accusation *>(body()) : nullptr;
+  explicit QuotaAskBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
   }
-  const sequoiastep::wire::ConfigRecord *body_as_ConfigRecord() const {
-    return body_type() == sequoiastep::wire::Body::ConfigRecord ? static_cast<const sequoiastep::wire::ConfigRecord *>(body()) : nullptr;
+  flatbuffers::Offset<QuotaAsk> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<QuotaAsk>(end);
+    return o;
   }
-  const sequoiastep::wire::Pull *body_as_Pull() const {
-    return body_type() == sequoiastep::wire::Body::Pull ? static_cast<const sequoiastep::wire::Pull *>(body()) : nullptr;
+};
+
+inline flatbuffers::Offset<QuotaAsk> CreateQuotaAsk(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    flatbuffers::Offset<flatbuffers::String> workspace = 0,
+    uint32_t tokens = 0,
+    float demand_per_s = 0.0f) {
+  QuotaAskBuilder builder_(_fbb);
+  builder_.add_id(id);
+  builder_.add_demand_per_s(demand_per_s);
+  builder_.add_tokens(tokens);
+  builder_.add_workspace(workspace);
+  return builder_.Finish();
+}
+
+struct QuotaAsk::Traits {
+  using type = QuotaAsk;
+  static auto constexpr Create = CreateQuotaAsk;
+};
+
+inline flatbuffers::Offset<QuotaAsk> CreateQuotaAskDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    const char *workspace = nullptr,
+    uint32_t tokens = 0,
+    float demand_per_s = 0.0f) {
+  auto workspace__ = workspace ? _fbb.CreateString(workspace) : 0;
+  return sequoiastep::wire::CreateQuotaAsk(
+      _fbb,
+      id,
+      workspace__,
+      tokens,
+      demand_per_s);
+}
+
+flatbuffers::Offset<QuotaAsk> CreateQuotaAsk(flatbuffers::FlatBufferBuilder &_fbb, const QuotaAskT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct QuotaGrantT : public flatbuffers::NativeTable {
+  typedef QuotaGrant TableType;
+  uint64_t id = 0;
+  uint32_t tokens = 0;
+  uint32_t lifetime_ms = 0;
+  uint32_t retry_after_ms = 0;
+  bool not_owner = false;
+};
+
+/// Reply to a QuotaAsk.
+struct QuotaGrant FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef QuotaGrantT NativeTableType;
+  typedef QuotaGrantBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ID = 4,
+    VT_TOKENS = 6,
+    VT_LIFETIME_MS = 8,
+    VT_RETRY_AFTER_MS = 10,
+    VT_NOT_OWNER = 12
+  };
+  uint64_t id() const {
+    return GetField<uint64_t>(VT_ID, 0);
   }
-  const sequoiastep::wire::Whole *body_as_Whole() const {
-    return body_type() == sequoiastep::wire::Body::Whole ? static_cast<const sequoiastep::wire::Whole *>(body()) : nullptr;
+  /// 0 if the quota is used up.
+  uint32_t tokens() const {
+    return GetField<uint32_t>(VT_TOKENS, 0);
   }
-  const sequoiastep::wire::Call *body_as_Call() const {
-    return body_type() == sequoiastep::wire::Body::Call ? static_cast<const sequoiastep::wire::Call *>(body()) : nullptr;
+  /// The tokens are void this long after the QuotaAsk was sent.
+  uint32_t lifetime_ms() const {
+    return GetField<uint32_t>(VT_LIFETIME_MS, 0);
   }
-  const sequoiastep::wire::Answer *body_as_Answer() const {
-    return body_type() == sequoiastep::wire::Body::Answer ? static_cast<const sequoiastep::wire::Answer *>(body()) : nullptr;
+  /// Estimated time until more tokens can be granted.
+  uint32_t retry_after_ms() const {
+    return GetField<uint32_t>(VT_RETRY_AFTER_MS, 0);
   }
-  const sequoiastep::wire::Cancel *body_as_Cancel() const {
-    return body_type() == sequoiastep::wire::Body::Cancel ? static_cast<const sequoiastep::wire::Cancel *>(body()) : nullptr;
+  /// The sender of this message does not own the quota in its own view and granted nothing.
+  bool not_owner() const {
+    return GetField<uint8_t>(VT_NOT_OWNER, 0) != 0;
   }
-  const sequoiastep::wire::OperatorRecord *body_as_OperatorRecord() const {
-    return body_type() == sequoiastep::wire::Body::OperatorRecord ? static_cast<const sequoiastep::wire::OperatorRecord *>(body()) : nullptr;
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint64_t>(verifier, VT_ID, 8) &&
+           VerifyField<uint32_t>(verifier, VT_TOKENS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_LIFETIME_MS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_RETRY_AFTER_MS, 4) &&
+           VerifyField<uint8_t>(verifier, VT_NOT_OWNER, 1) &&
+           verifier.EndTable();
   }
-  const sequoiastep::wire::OperatorPull *body_as_OperatorPull() const {
-    return body_type() == sequoiastep::wire::Body::OperatorPull ? static_cast<const sequoiastep::wire::OperatorPull *>(body()) : nullptr;
+  QuotaGrantT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(QuotaGrantT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<QuotaGrant> Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuotaGrantT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct QuotaGrantBuilder {
+  typedef QuotaGrant Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_id(uint64_t id) {
+    fbb_.AddElement<uint64_t>(QuotaGrant::VT_ID, id, 0);
   }
-  const sequoiastep::wire::Probe *body_as_Probe() const {
-    return body_type() == sequoiastep::wire::Body::Probe ? static_cast<const sequoiastep::wire::Probe *>(body()) : nullptr;
+  void add_tokens(uint32_t tokens) {
+    fbb_.AddElement<uint32_t>(QuotaGrant::VT_TOKENS, tokens, 0);
   }
-  const sequoiastep::wire::BodyGrant *body_as_BodyGrant() const {
-    return body_type() == sequoiastep::wire::Body::BodyGrant ? static_cast<const sequoiastep::wire::BodyGrant *>(body()) : nullptr;
+  void add_lifetime_ms(uint32_t lifetime_ms) {
+    fbb_.AddElement<uint32_t>(QuotaGrant::VT_LIFETIME_MS, lifetime_ms, 0);
   }
-  const sequoiastep::wire::BodyChunk *body_as_BodyChunk() const {
-    return body_type() == sequoiastep::wire::Body::BodyChunk ? static_cast<const sequoiastep::wire::BodyChunk *>(body()) : nullptr;
+  void add_retry_after_ms(uint32_t retry_after_ms) {
+    fbb_.AddElement<uint32_t>(QuotaGrant::VT_RETRY_AFTER_MS, retry_after_ms, 0);
   }
-  const sequoiastep::wire::Shorten *body_as_Shorten() const {
-    return body_type() == sequoiastep::wire::Body::Shorten ? static_cast<const sequoiastep::wire::Shorten *>(body()) : nullptr;
+  void add_not_owner(bool not_owner) {
+    fbb_.AddElement<uint8_t>(QuotaGrant::VT_NOT_OWNER, static_cast<uint8_t>(not_owner), 0);
+  }
+  explicit QuotaGrantBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<QuotaGrant> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<QuotaGrant>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<QuotaGrant> CreateQuotaGrant(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    uint64_t id = 0,
+    uint32_t tokens = 0,
+    uint32_t lifetime_ms = 0,
+    uint32_t retry_after_ms = 0,
+    bool not_owner = false) {
+  QuotaGrantBuilder builder_(_fbb);
+  builder_.add_id(id);
+  builder_.add_retry_after_ms(retry_after_ms);
+  builder_.add_lifetime_ms(lifetime_ms);
+  builder_.add_tokens(tokens);
+  builder_.add_not_owner(not_owner);
+  return builder_.Finish();
+}
+
+struct QuotaGrant::Traits {
+  using type = QuotaGrant;
+  static auto constexpr Create = CreateQuotaGrant;
+};
+
+flatbuffers::Offset<QuotaGrant> CreateQuotaGrant(flatbuffers::FlatBufferBuilder &_fbb, const QuotaGrantT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct RolloutEntryT : public flatbuffers::NativeTable {
+  typedef RolloutEntry TableType;
+  std::string service{};
+  std::string version{};
+  uint64_t order_era = 0;
+  uint64_t order_offset = 0;
+  uint32_t duration_ms = 0;
+  int64_t left_ms = 0;
+  sequoiastep::wire::RolloutPhase phase = sequoiastep::wire::RolloutPhase::Trial;
+  flatbuffers::Optional<uint64_t> final_offset = flatbuffers::nullopt;
+  std::string established{};
+};
+
+/// State of the latest roll-out of one service.
+struct RolloutEntry FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RolloutEntryT NativeTableType;
+  typedef RolloutEntryBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_VERSION = 6,
+    VT_ORDER_ERA = 8,
+    VT_ORDER_OFFSET = 10,
+    VT_DURATION_MS = 12,
+    VT_LEFT_MS = 14,
+    VT_PHASE = 16,
+    VT_FINAL_OFFSET = 18,
+    VT_ESTABLISHED = 20
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  /// Version that is rolled out.
+  const flatbuffers::String *version() const {
+    return GetPointer<const flatbuffers::String *>(VT_VERSION);
+  }
+  /// Era of the store and offset of the order's record, which identify the order.
+  uint64_t order_era() const {
+    return GetField<uint64_t>(VT_ORDER_ERA, 0);
+  }
+  uint64_t order_offset() const {
+    return GetField<uint64_t>(VT_ORDER_OFFSET, 0);
+  }
+  uint32_t duration_ms() const {
+    return GetField<uint32_t>(VT_DURATION_MS, 0);
+  }
+  /// Time left until the deadline when the message was sent; negative once it has passed.
+  int64_t left_ms() const {
+    return GetField<int64_t>(VT_LEFT_MS, 0);
+  }
+  sequoiastep::wire::RolloutPhase phase() const {
+    return static_cast<sequoiastep::wire::RolloutPhase>(GetField<uint8_t>(VT_PHASE, 0));
+  }
+  /// Offset of the record with the final state in the store; absent until the sender knows it.
+  flatbuffers::Optional<uint64_t> final_offset() const {
+    return GetOptional<uint64_t, uint64_t>(VT_FINAL_OFFSET);
+  }
+  /// Version that targets of the service had before the order; empty if it is not known.
+  const flatbuffers::String *established() const {
+    return GetPointer<const flatbuffers::String *>(VT_ESTABLISHED);
   }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
-           VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
-           VerifyOffset(verifier, VT_BODY) &&
-           VerifyBody(verifier, body(), body_type()) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyOffset(verifier, VT_VERSION) &&
+           verifier.VerifyString(version()) &&
+           VerifyField<uint64_t>(verifier, VT_ORDER_ERA, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ORDER_OFFSET, 8) &&
+           VerifyField<uint32_t>(verifier, VT_DURATION_MS, 4) &&
+           VerifyField<int64_t>(verifier, VT_LEFT_MS, 8) &&
+           VerifyField<uint8_t>(verifier, VT_PHASE, 1) &&
+           VerifyField<uint64_t>(verifier, VT_FINAL_OFFSET, 8) &&
+           VerifyOffset(verifier, VT_ESTABLISHED) &&
+           verifier.VerifyString(established()) &&
            verifier.EndTable();
   }
-  EnvelopeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  void UnPackTo(EnvelopeT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
-  static flatbuffers::Offset<Envelope> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EnvelopeT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+  RolloutEntryT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RolloutEntryT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RolloutEntry> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RolloutEntryT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 };
 
-template<> inline const sequoiastep::wire::Hello *Envelope::body_as<sequoiastep::wire::Hello>() const {
-  return body_as_Hello();
-}
+struct RolloutEntryBuilder {
+  typedef RolloutEntry Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(RolloutEntry::VT_SERVICE, service);
+  }
+  void add_version(flatbuffers::Offset<flatbuffers::String> version) {
+    fbb_.AddOffset(RolloutEntry::VT_VERSION, version);
+  }
+  void add_order_era(uint64_t order_era) {
+    fbb_.AddElement<uint64_t>(RolloutEntry::VT_ORDER_ERA, order_era, 0);
+  }
+  void add_order_offset(uint64_t order_offset) {
+    fbb_.AddElement<uint64_t>(RolloutEntry::VT_ORDER_OFFSET, order_offset, 0);
+  }
+  void add_duration_ms(uint32_t duration_ms) {
+    fbb_.AddElement<uint32_t>(RolloutEntry::VT_DURATION_MS, duration_ms, 0);
+  }
+  void add_left_ms(int64_t left_ms) {
+    fbb_.AddElement<int64_t>(RolloutEntry::VT_LEFT_MS, left_ms, 0);
+  }
+  void add_phase(sequoiastep::wire::RolloutPhase phase) {
+    fbb_.AddElement<uint8_t>(RolloutEntry::VT_PHASE, static_cast<uint8_t>(phase), 0);
+  }
+  void add_final_offset(uint64_t final_offset) {
+    fbb_.AddElement<uint64_t>(RolloutEntry::VT_FINAL_OFFSET, final_offset);
+  }
+  void add_established(flatbuffers::Offset<flatbuffers::String> established) {
+    fbb_.AddOffset(RolloutEntry::VT_ESTABLISHED, established);
+  }
+  explicit RolloutEntryBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RolloutEntry> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RolloutEntry>(end);
+    return o;
+  }
+};
 
-template<> inline const sequoiastep::wire::Join *Envelope::body_as<sequoiastep::wire::Join>() const {
-  return body_as_Join();
+inline flatbuffers::Offset<RolloutEntry> CreateRolloutEntry(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    flatbuffers::Offset<flatbuffers::String> version = 0,
+    uint64_t order_era = 0,
+    uint64_t order_offset = 0,
+    uint32_t duration_ms = 0,
+    int64_t left_ms = 0,
+    sequoiastep::wire::RolloutPhase phase = sequoiastep::wire::RolloutPhase::Trial,
+    flatbuffers::Optional<uint64_t> final_offset = flatbuffers::nullopt,
+    flatbuffers::Offset<flatbuffers::String> established = 0) {
+  RolloutEntryBuilder builder_(_fbb);
+  if(final_offset) { builder_.add_final_offset(*final_offset); }
+  builder_.add_left_ms(left_ms);
+  builder_.add_order_offset(order_offset);
+  builder_.add_order_era(order_era);
+  builder_.add_established(established);
+  builder_.add_duration_ms(duration_ms);
+  builder_.add_version(version);
+  builder_.add_service(service);
+  builder_.add_phase(phase);
+  return builder_.Finish();
 }
 
-template<> inline const sequoiastep::wire::JoinBusy *Envelope::body_as<sequoiastep::wire::JoinBusy>() const {
-  return body_as_JoinBusy();
-}
+struct RolloutEntry::Traits {
+  using type = RolloutEntry;
+  static auto constexpr Create = CreateRolloutEntry;
+};
 
-template<> inline const sequoiastep::wire::JoinDone *Envelope::body_as<sequoiastep::wire::JoinDone>() const {
-  return body_as_JoinDone();
+inline flatbuffers::Offset<RolloutEntry> CreateRolloutEntryDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *service = nullptr,
+    const char *version = nullptr,
+    uint64_t order_era = 0,
+    uint64_t order_offset = 0,
+    uint32_t duration_ms = 0,
+    int64_t left_ms = 0,
+    sequoiastep::wire::RolloutPhase phase = sequoiastep::wire::RolloutPhase::Trial,
+    flatbuffers::Optional<uint64_t> final_offset = flatbuffers::nullopt,
+    const char *established = nullptr) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto version__ = version ? _fbb.CreateString(version) : 0;
+  auto established__ = established ? _fbb.CreateString(established) : 0;
+  return sequoiastep::wire::CreateRolloutEntry(
+      _fbb,
+      service__,
+      version__,
+      order_era,
+      order_offset,
+      duration_ms,
+      left_ms,
+      phase,
+      final_offset,
+      established__);
 }
 
-template<> inline const sequoiastep::wire::Heartbeat *Envelope::body_as<sequoiastep::wire::Heartbeat>() const {
-  return body_as_Heartbeat();
-}
+flatbuffers::Offset<RolloutEntry> CreateRolloutEntry(flatbuffers::FlatBufferBuilder &_fbb, const RolloutEntryT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
 
-template<> inline const sequoiastep::wire::MemberUpdate *Envelope::body_as<sequoiastep::wire::MemberUpdate>() const {
-  return body_as_MemberUpdate();
-}
+struct RolloutUpdateT : public flatbuffers::NativeTable {
+  typedef RolloutUpdate TableType;
+  std::vector<std::unique_ptr<sequoiastep::wire::RolloutEntryT>> entries{};
+  bool reply_wanted = false;
+  RolloutUpdateT() = default;
+  RolloutUpdateT(const RolloutUpdateT &o);
+  RolloutUpdateT(RolloutUpdateT&&) FLATBUFFERS_NOEXCEPT = default;
+  RolloutUpdateT &operator=(RolloutUpdateT o) FLATBUFFERS_NOEXCEPT;
+};
 
-template<> inline const sequoiastep::wire::MemberDigests *Envelope::body_as<sequoiastep::wire::MemberDigests>() const {
-  return body_as_MemberDigests();
-}
+/// Roll-outs that changed, or all of them if the digests of two nodes differ.
+struct RolloutUpdate FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RolloutUpdateT NativeTableType;
+  typedef RolloutUpdateBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ENTRIES = 4,
+    VT_REPLY_WANTED = 6
+  };
+  const flatbuffers::Vector<flatbuffers::Offset<sequoiastep::wire::RolloutEntry>> *entries() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<sequoiastep::wire::RolloutEntry>> *>(VT_ENTRIES);
+  }
+  /// The receiver replies with its own entries.
+  bool reply_wanted() const {
+    return GetField<uint8_t>(VT_REPLY_WANTED, 0) != 0;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ENTRIES) &&
+           verifier.VerifyVector(entries()) &&
+           verifier.VerifyVectorOfTables(entries()) &&
+           VerifyField<uint8_t>(verifier, VT_REPLY_WANTED, 1) &&
+           verifier.EndTable();
+  }
+  RolloutUpdateT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RolloutUpdateT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RolloutUpdate> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RolloutUpdateT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RolloutUpdateBuilder {
+  typedef RolloutUpdate Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_entries(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sequoiastep::wire::RolloutEntry>>> entries) {
+    fbb_.AddOffset(RolloutUpdate::VT_ENTRIES, entries);
+  }
+  void add_reply_wanted(bool reply_wanted) {
+    fbb_.AddElement<uint8_t>(RolloutUpdate::VT_REPLY_WANTED, static_cast<uint8_t>(reply_wanted), 0);
+  }
+  explicit RolloutUpdateBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RolloutUpdate> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RolloutUpdate>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RolloutUpdate> CreateRolloutUpdate(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sequoiastep::wire::RolloutEntry>>> entries = 0,
+    bool reply_wanted = false) {
+  RolloutUpdateBuilder builder_(_fbb);
+  builder_.add_entries(entries);
+  builder_.add_reply_wanted(reply_wanted);
+  return builder_.Finish();
+}
+
+struct RolloutUpdate::Traits {
+  using type = RolloutUpdate;
+  static auto constexpr Create = CreateRolloutUpdate;
+};
+
+inline flatbuffers::Offset<RolloutUpdate> CreateRolloutUpdateDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const std::vector<flatbuffers::Offset<sequoiastep::wire::RolloutEntry>> *entries = nullptr,
+    bool reply_wanted = false) {
+  auto entries__ = entries ? _fbb.CreateVector<flatbuffers::Offset<sequoiastep::wire::RolloutEntry>>(*entries) : 0;
+  return sequoiastep::wire::CreateRolloutUpdate(
+      _fbb,
+      entries__,
+      reply_wanted);
+}
+
+flatbuffers::Offset<RolloutUpdate> CreateRolloutUpdate(flatbuffers::FlatBufferBuilder &_fbb, const RolloutUpdateT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct RouteEvidenceT : public flatbuffers::NativeTable {
+  typedef RouteEvidence TableType;
+  std::string route{};
+  uint32_t requests = 0;
+  uint32_t errors = 0;
+  double run_ms = 0.0;
+  double run_ms_squared = 0.0;
+};
+
+/// Answers of one target to requests of one route since the target's node learnt of the order.
+struct RouteEvidence FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RouteEvidenceT NativeTableType;
+  typedef RouteEvidenceBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_ROUTE = 4,
+    VT_REQUESTS = 6,
+    VT_ERRORS = 8,
+    VT_RUN_MS = 10,
+    VT_RUN_MS_SQUARED = 12
+  };
+  const flatbuffers::String *route() const {
+    return GetPointer<const flatbuffers::String *>(VT_ROUTE);
+  }
+  uint32_t requests() const {
+    return GetField<uint32_t>(VT_REQUESTS, 0);
+  }
+  /// Server errors that were not caused by a failed call of the target's own.
+  uint32_t errors() const {
+    return GetField<uint32_t>(VT_ERRORS, 0);
+  }
+  /// Sum of run times in milliseconds, and of their squares.
+  double run_ms() const {
+    return GetField<double>(VT_RUN_MS, 0.0);
+  }
+  double run_ms_squared() const {
+    return GetField<double>(VT_RUN_MS_SQUARED, 0.0);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_ROUTE) &&
+           verifier.VerifyString(route()) &&
+           VerifyField<uint32_t>(verifier, VT_REQUESTS, 4) &&
+           VerifyField<uint32_t>(verifier, VT_ERRORS, 4) &&
+           VerifyField<double>(verifier, VT_RUN_MS, 8) &&
+           VerifyField<double>(verifier, VT_RUN_MS_SQUARED, 8) &&
+           verifier.EndTable();
+  }
+  RouteEvidenceT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RouteEvidenceT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RouteEvidence> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RouteEvidenceT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RouteEvidenceBuilder {
+  typedef RouteEvidence Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_route(flatbuffers::Offset<flatbuffers::String> route) {
+    fbb_.AddOffset(RouteEvidence::VT_ROUTE, route);
+  }
+  void add_requests(uint32_t requests) {
+    fbb_.AddElement<uint32_t>(RouteEvidence::VT_REQUESTS, requests, 0);
+  }
+  void add_errors(uint32_t errors) {
+    fbb_.AddElement<uint32_t>(RouteEvidence::VT_ERRORS, errors, 0);
+  }
+  void add_run_ms(double run_ms) {
+    fbb_.AddElement<double>(RouteEvidence::VT_RUN_MS, run_ms, 0.0);
+  }
+  void add_run_ms_squared(double run_ms_squared) {
+    fbb_.AddElement<double>(RouteEvidence::VT_RUN_MS_SQUARED, run_ms_squared, 0.0);
+  }
+  explicit RouteEvidenceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RouteEvidence> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RouteEvidence>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RouteEvidence> CreateRouteEvidence(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> route = 0,
+    uint32_t requests = 0,
+    uint32_t errors = 0,
+    double run_ms = 0.0,
+    double run_ms_squared = 0.0) {
+  RouteEvidenceBuilder builder_(_fbb);
+  builder_.add_run_ms_squared(run_ms_squared);
+  builder_.add_run_ms(run_ms);
+  builder_.add_errors(errors);
+  builder_.add_requests(requests);
+  builder_.add_route(route);
+  return builder_.Finish();
+}
+
+struct RouteEvidence::Traits {
+  using type = RouteEvidence;
+  static auto constexpr Create = CreateRouteEvidence;
+};
+
+inline flatbuffers::Offset<RouteEvidence> CreateRouteEvidenceDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *route = nullptr,
+    uint32_t requests = 0,
+    uint32_t errors = 0,
+    double run_ms = 0.0,
+    double run_ms_squared = 0.0) {
+  auto route__ = route ? _fbb.CreateString(route) : 0;
+  return sequoiastep::wire::CreateRouteEvidence(
+      _fbb,
+      route__,
+      requests,
+      errors,
+      run_ms,
+      run_ms_squared);
+}
+
+flatbuffers::Offset<RouteEvidence> CreateRouteEvidence(flatbuffers::FlatBufferBuilder &_fbb, const RouteEvidenceT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct RolloutEvidenceT : public flatbuffers::NativeTable {
+  typedef RolloutEvidence TableType;
+  std::string service{};
+  uint64_t order_era = 0;
+  uint64_t order_offset = 0;
+  std::string node{};
+  uint64_t incarnation = 0;
+  std::string version{};
+  uint64_t sequence = 0;
+  uint32_t outstanding = 0;
+  std::vector<std::unique_ptr<sequoiastep::wire::RouteEvidenceT>> routes{};
+  RolloutEvidenceT() = default;
+  RolloutEvidenceT(const RolloutEvidenceT &o);
+  RolloutEvidenceT(RolloutEvidenceT&&) FLATBUFFERS_NOEXCEPT = default;
+  RolloutEvidenceT &operator=(RolloutEvidenceT o) FLATBUFFERS_NOEXCEPT;
+};
+
+/// Counts of the sender's target in a roll-out, sent to the judges of the service.
+struct RolloutEvidence FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef RolloutEvidenceT NativeTableType;
+  typedef RolloutEvidenceBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_SERVICE = 4,
+    VT_ORDER_ERA = 6,
+    VT_ORDER_OFFSET = 8,
+    VT_NODE = 10,
+    VT_INCARNATION = 12,
+    VT_VERSION = 14,
+    VT_SEQUENCE = 16,
+    VT_OUTSTANDING = 18,
+    VT_ROUTES = 20
+  };
+  const flatbuffers::String *service() const {
+    return GetPointer<const flatbuffers::String *>(VT_SERVICE);
+  }
+  uint64_t order_era() const {
+    return GetField<uint64_t>(VT_ORDER_ERA, 0);
+  }
+  uint64_t order_offset() const {
+    return GetField<uint64_t>(VT_ORDER_OFFSET, 0);
+  }
+  const flatbuffers::String *node() const {
+    return GetPointer<const flatbuffers::String *>(VT_NODE);
+  }
+  uint64_t incarnation() const {
+    return GetField<uint64_t>(VT_INCARNATION, 0);
+  }
+  /// Version of the sender's target.
+  const flatbuffers::String *version() const {
+    return GetPointer<const flatbuffers::String *>(VT_VERSION);
+  }
+  /// Increases with each message of the sender's incarnation.
+  uint64_t sequence() const {
+    return GetField<uint64_t>(VT_SEQUENCE, 0);
+  }
+  /// Requests that run or wait at the target.
+  uint32_t outstanding() const {
+    return GetField<uint32_t>(VT_OUTSTANDING, 0);
+  }
+  const flatbuffers::Vector<flatbuffers::Offset<sequoiastep::wire::RouteEvidence>> *routes() const {
+    return GetPointer<const flatbuffers::Vector<flatbuffers::Offset<sequoiastep::wire::RouteEvidence>> *>(VT_ROUTES);
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyOffset(verifier, VT_SERVICE) &&
+           verifier.VerifyString(service()) &&
+           VerifyField<uint64_t>(verifier, VT_ORDER_ERA, 8) &&
+           VerifyField<uint64_t>(verifier, VT_ORDER_OFFSET, 8) &&
+           VerifyOffset(verifier, VT_NODE) &&
+           verifier.VerifyString(node()) &&
+           VerifyField<uint64_t>(verifier, VT_INCARNATION, 8) &&
+           VerifyOffset(verifier, VT_VERSION) &&
+           verifier.VerifyString(version()) &&
+           VerifyField<uint64_t>(verifier, VT_SEQUENCE, 8) &&
+           VerifyField<uint32_t>(verifier, VT_OUTSTANDING, 4) &&
+           VerifyOffset(verifier, VT_ROUTES) &&
+           verifier.VerifyVector(routes()) &&
+           verifier.VerifyVectorOfTables(routes()) &&
+           verifier.EndTable();
+  }
+  RolloutEvidenceT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(RolloutEvidenceT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<RolloutEvidence> Pack(flatbuffers::FlatBufferBuilder &_fbb, const RolloutEvidenceT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+struct RolloutEvidenceBuilder {
+  typedef RolloutEvidence Table;
+  flatbuffers::FlatBufferBuilder &fbb_;
+  flatbuffers::uoffset_t start_;
+  void add_service(flatbuffers::Offset<flatbuffers::String> service) {
+    fbb_.AddOffset(RolloutEvidence::VT_SERVICE, service);
+  }
+  void add_order_era(uint64_t order_era) {
+    fbb_.AddElement<uint64_t>(RolloutEvidence::VT_ORDER_ERA, order_era, 0);
+  }
+  void add_order_offset(uint64_t order_offset) {
+    fbb_.AddElement<uint64_t>(RolloutEvidence::VT_ORDER_OFFSET, order_offset, 0);
+  }
+  void add_node(flatbuffers::Offset<flatbuffers::String> node) {
+    fbb_.AddOffset(RolloutEvidence::VT_NODE, node);
+  }
+  void add_incarnation(uint64_t incarnation) {
+    fbb_.AddElement<uint64_t>(RolloutEvidence::VT_INCARNATION, incarnation, 0);
+  }
+  void add_version(flatbuffers::Offset<flatbuffers::String> version) {
+    fbb_.AddOffset(RolloutEvidence::VT_VERSION, version);
+  }
+  void add_sequence(uint64_t sequence) {
+    fbb_.AddElement<uint64_t>(RolloutEvidence::VT_SEQUENCE, sequence, 0);
+  }
+  void add_outstanding(uint32_t outstanding) {
+    fbb_.AddElement<uint32_t>(RolloutEvidence::VT_OUTSTANDING, outstanding, 0);
+  }
+  void add_routes(flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sequoiastep::wire::RouteEvidence>>> routes) {
+    fbb_.AddOffset(RolloutEvidence::VT_ROUTES, routes);
+  }
+  explicit RolloutEvidenceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
+        : fbb_(_fbb) {
+    start_ = fbb_.StartTable();
+  }
+  flatbuffers::Offset<RolloutEvidence> Finish() {
+    const auto end = fbb_.EndTable(start_);
+    auto o = flatbuffers::Offset<RolloutEvidence>(end);
+    return o;
+  }
+};
+
+inline flatbuffers::Offset<RolloutEvidence> CreateRolloutEvidence(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    flatbuffers::Offset<flatbuffers::String> service = 0,
+    uint64_t order_era = 0,
+    uint64_t order_offset = 0,
+    flatbuffers::Offset<flatbuffers::String> node = 0,
+    uint64_t incarnation = 0,
+    flatbuffers::Offset<flatbuffers::String> version = 0,
+    uint64_t sequence = 0,
+    uint32_t outstanding = 0,
+    flatbuffers::Offset<flatbuffers::Vector<flatbuffers::Offset<sequoiastep::wire::RouteEvidence>>> routes = 0) {
+  RolloutEvidenceBuilder builder_(_fbb);
+  builder_.add_sequence(sequence);
+  builder_.add_incarnation(incarnation);
+  builder_.add_order_offset(order_offset);
+  builder_.add_order_era(order_era);
+  builder_.add_routes(routes);
+  builder_.add_outstanding(outstanding);
+  builder_.add_version(version);
+  builder_.add_node(node);
+  builder_.add_service(service);
+  return builder_.Finish();
+}
+
+struct RolloutEvidence::Traits {
+  using type = RolloutEvidence;
+  static auto constexpr Create = CreateRolloutEvidence;
+};
+
+inline flatbuffers::Offset<RolloutEvidence> CreateRolloutEvidenceDirect(
+    flatbuffers::FlatBufferBuilder &_fbb,
+    const char *service = nullptr,
+    uint64_t order_era = 0,
+    uint64_t order_offset = 0,
+    const char *node = nullptr,
+    uint64_t incarnation = 0,
+    const char *version = nullptr,
+    uint64_t sequence = 0,
+    uint32_t outstanding = 0,
+    const std::vector<flatbuffers::Offset<sequoiastep::wire::RouteEvidence>> *routes = nullptr) {
+  auto service__ = service ? _fbb.CreateString(service) : 0;
+  auto node__ = node ? _fbb.CreateString(node) : 0;
+  auto version__ = version ? _fbb.CreateString(version) : 0;
+  auto routes__ = routes ? _fbb.CreateVector<flatbuffers::Offset<sequoiastep::wire::RouteEvidence>>(*routes) : 0;
+  return sequoiastep::wire::CreateRolloutEvidence(
+      _fbb,
+      service__,
+      order_era,
+      order_offset,
+      node__,
+      incarnation,
+      version__,
+      sequence,
+      outstanding,
+      routes__);
+}
+
+flatbuffers::Offset<RolloutEvidence> CreateRolloutEvidence(flatbuffers::FlatBufferBuilder &_fbb, const RolloutEvidenceT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+
+struct EnvelopeT : public flatbuffers::NativeTable {
+  typedef Envelope TableType;
+  sequoiastep::wire::BodyUnion body{};
+};
+
+struct Envelope FLATBUFFERS_FINAL_CLASS : private flatbuffers::Table {
+  typedef EnvelopeT NativeTableType;
+  typedef EnvelopeBuilder Builder;
+  struct Traits;
+  enum FlatBuffersVTableOffset FLATBUFFERS_VTABLE_UNDERLYING_TYPE {
+    VT_BODY_TYPE = 4,
+    VT_BODY = 6
+  };
+  sequoiastep::wire::Body body_type() const {
+    return static_cast<sequoiastep::wire::Body>(GetField<uint8_t>(VT_BODY_TYPE, 0));
+  }
+  const void *body() const {
+    return GetPointer<const void *>(VT_BODY);
+  }
+  template<typename T> const T *body_as() const;
+  const sequoiastep::wire::Hello *body_as_Hello() const {
+    return body_type() == sequoiastep::wire::Body::Hello ? static_cast<const sequoiastep::wire::Hello *>(body()) : nullptr;
+  }
+  const sequoiastep::wire::Join *body_as_Join() const {
+    return body_type() == sequoiastep::wire::Body::Join ? static_cast<const sequoiastep::wire::Join *>(body()) : nullptr;
+  }
+  const sequoiastep::wire::JoinBusy *body_as_JoinBusy() const {
+    return body_type() == sequoiastep::wire::Body::JoinBusy ? static_cast<const sequoiastep::wire::JoinBusy *>(body()) : nullptr;
+  }
+  const sequoiastep::wire::JoinDone *body_as_JoinDone() const {
+    return body_type() == sequoiastep::wire::Body::JoinDone ? static_cast<const sequoiastep::wire::JoinDone *>(body()) : nullptr;
+  }
+  const sequoiastep::wire::Heartbeat *body_as_Heartbeat() const {
+    return body_type() == sequoiastep::wire::Body::Heartbeat ? static_cast<const sequoiastep::wire::Heartbeat *>(body()) : nullptr;
+  }
+  const sequoiastep::wire::MemberUpdate *body_as_MemberUpdate() const {
+    return body_type() == sequoiastep::wire::Body::MemberUpdate ? static_cast<const sequoiastep::wire::MemberUpdate *>(body()) : nullptr;
+  }
+  const sequoiastep::wire::MemberDigests *body_as_MemberDigests() const {
+    return body_type() == sequoiastep::wire::Body::MemberDigests ? static_cast<const sequoiastep::wire::MemberDigests *>(body()) : nullptr;
+  }
+  const sequoiastep::wire::Accusation *body_as_Accusation() const {
+    return body_type() == sequoiastep::wire::Body::Accusation ? static_cast<const sequoiastep::wire::Accusation *>(body()) : nullptr;
+  }
+  const sequoiastep::wire::ConfigRecord *body_as_ConfigRecord() const {
+    return body_type() == sequoiastep::wire::Body::ConfigRecord ? static_cast<const sequoiastep::wire::ConfigRecord *>(body()) : nullptr;
+  }
+  const sequoiastep::wire::Pull *body_as_Pull() const {
+    return body_type() == sequoiastep::wire::Body::Pull ? static_cast<const sequoiastep::wire::Pull *>(body()) : nullptr;
+  }
+  const sequoiastep::wire::Whole *body_as_Whole() const {
+    return body_type() == sequoiastep::wire::Body::Whole ? static_cast<const sequoiastep::wire::Whole *>(body()) : nullptr;
+  }
+  const sequoiastep::wire::Call *body_as_Call() const {
+    return body_type() == sequoiastep::wire::Body::Call ? static_cast<const sequoiastep::wire::Call *>(body()) : nullptr;
+  }
+  const sequoiastep::wire::Answer *body_as_Answer() const {
+    return body_type() == sequoiastep::wire::Body::Answer ? static_cast<const sequoiastep::wire::Answer *>(body()) : nullptr;
+  }
+  const sequoiastep::wire::Cancel *body_as_Cancel() const {
+    return body_type() == sequoiastep::wire::Body::Cancel ? static_cast<const sequoiastep::wire::Cancel *>(body()) : nullptr;
+  }
+  const sequoiastep::wire::OperatorRecord *body_as_OperatorRecord() const {
+    return body_type() == sequoiastep::wire::Body::OperatorRecord ? static_cast<const sequoiastep::wire::OperatorRecord *>(body()) : nullptr;
+  }
+  const sequoiastep::wire::OperatorPull *body_as_OperatorPull() const {
+    return body_type() == sequoiastep::wire::Body::OperatorPull ? static_cast<const sequoiastep::wire::OperatorPull *>(body()) : nullptr;
+  }
+  const sequoiastep::wire::Probe *body_as_Probe() const {
+    return body_type() == sequoiastep::wire::Body::Probe ? static_cast<const sequoiastep::wire::Probe *>(body()) : nullptr;
+  }
+  const sequoiastep::wire::BodyGrant *body_as_BodyGrant() const {
+    return body_type() == sequoiastep::wire::Body::BodyGrant ? static_cast<const sequoiastep::wire::BodyGrant *>(body()) : nullptr;
+  }
+  const sequoiastep::wire::BodyChunk *body_as_BodyChunk() const {
+    return body_type() == sequoiastep::wire::Body::BodyChunk ? static_cast<const sequoiastep::wire::BodyChunk *>(body()) : nullptr;
+  }
+  const sequoiastep::wire::Shorten *body_as_Shorten() const {
+    return body_type() == sequoiastep::wire::Body::Shorten ? static_cast<const sequoiastep::wire::Shorten *>(body()) : nullptr;
+  }
+  const sequoiastep::wire::QuotaAsk *body_as_QuotaAsk() const {
+    return body_type() == sequoiastep::wire::Body::QuotaAsk ? static_cast<const sequoiastep::wire::QuotaAsk *>(body()) : nullptr;
+  }
+  const sequoiastep::wire::QuotaGrant *body_as_QuotaGrant() const {
+    return body_type() == sequoiastep::wire::Body::QuotaGrant ? static_cast<const sequoiastep::wire::QuotaGrant *>(body()) : nullptr;
+  }
+  const sequoiastep::wire::RolloutUpdate *body_as_RolloutUpdate() const {
+    return body_type() == sequoiastep::wire::Body::RolloutUpdate ? static_cast<const sequoiastep::wire::RolloutUpdate *>(body()) : nullptr;
+  }
+  const sequoiastep::wire::RolloutEvidence *body_as_RolloutEvidence() const {
+    return body_type() == sequoiastep::wire::Body::RolloutEvidence ? static_cast<const sequoiastep::wire::RolloutEvidence *>(body()) : nullptr;
+  }
+  bool Verify(flatbuffers::Verifier &verifier) const {
+    return VerifyTableStart(verifier) &&
+           VerifyField<uint8_t>(verifier, VT_BODY_TYPE, 1) &&
+           VerifyOffset(verifier, VT_BODY) &&
+           VerifyBody(verifier, body(), body_type()) &&
+           verifier.EndTable();
+  }
+  EnvelopeT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  void UnPackTo(EnvelopeT *_o, const flatbuffers::resolver_function_t *_resolver = nullptr) const;
+  static flatbuffers::Offset<Envelope> Pack(flatbuffers::FlatBufferBuilder &_fbb, const EnvelopeT* _o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
+};
+
+template<> inline const sequoiastep::wire::Hello *Envelope::body_as<sequoiastep::wire::Hello>() const {
+  return body_as_Hello();
+}
+
+template<> inline const sequoiastep::wire::Join *Envelope::body_as<sequoiastep::wire::Join>() const {
+  return body_as_Join();
+}
+
+template<> inline const sequoiastep::wire::JoinBusy *Envelope::body_as<sequoiastep::wire::JoinBusy>() const {
+  return body_as_JoinBusy();
+}
+
+template<> inline const sequoiastep::wire::JoinDone *Envelope::body_as<sequoiastep::wire::JoinDone>() const {
+  return body_as_JoinDone();
+}
+
+template<> inline const sequoiastep::wire::Heartbeat *Envelope::body_as<sequoiastep::wire::Heartbeat>() const {
+  return body_as_Heartbeat();
+}
+
+template<> inline const sequoiastep::wire::MemberUpdate *Envelope::body_as<sequoiastep::wire::MemberUpdate>() const {
+  return body_as_MemberUpdate();
+}
+
+template<> inline const sequoiastep::wire::MemberDigests *Envelope::body_as<sequoiastep::wire::MemberDigests>() const {
+  return body_as_MemberDigests();
+}
 
 template<> inline const sequoiastep::wire::Accusation *Envelope::body_as<sequoiastep::wire::Accusation>() const {
   return body_as_Accusation();
@@ -4198,6 +5190,22 @@
   return body_as_Shorten();
 }
 
+template<> inline const sequoiastep::wire::QuotaAsk *Envelope::body_as<sequoiastep::wire::QuotaAsk>() const {
+  return body_as_QuotaAsk();
+}
+
+template<> inline const sequoiastep::wire::QuotaGrant *Envelope::body_as<sequoiastep::wire::QuotaGrant>() const {
+  return body_as_QuotaGrant();
+}
+
+template<> inline const sequoiastep::wire::RolloutUpdate *Envelope::body_as<sequoiastep::wire::RolloutUpdate>() const {
+  return body_as_RolloutUpdate();
+}
+
+template<> inline const sequoiastep::wire::RolloutEvidence *Envelope::body_as<sequoiastep::wire::RolloutEvidence>() const {
+  return body_as_RolloutEvidence();
+}
+
 struct EnvelopeBuilder {
   typedef Envelope Table;
   flatbuffers::FlatBufferBuilder &fbb_;
@@ -4510,7 +5518,8 @@
         service(o.service),
         slots(o.slots),
         warm_up_ms(o.warm_up_ms),
-        per_second(o.per_second) {
+        per_second(o.per_second),
+        version(o.version) {
   departures.reserve(o.departures.size());
   for (const auto &departures_ : o.departures) { departures.emplace_back((departures_) ? new sequoiastep::wire::DepartureT(*departures_) : nullptr); }
 }
@@ -4528,6 +5537,7 @@
   std::swap(warm_up_ms, o.warm_up_ms);
   std::swap(per_second, o.per_second);
   std::swap(departures, o.departures);
+  std::swap(version, o.version);
   return *this;
 }
 
@@ -4552,6 +5562,7 @@
   { auto _e = warm_up_ms(); _o->warm_up_ms = _e; }
   { auto _e = per_second(); _o->per_second = _e; }
   { auto _e = departures(); if (_e) { _o->departures.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->departures[_i] = std::unique_ptr<sequoiastep::wire::DepartureT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = version(); if (_e) _o->version = _e->str(); }
 }
 
 inline flatbuffers::Offset<MemberEntry> MemberEntry::Pack(flatbuffers::FlatBufferBuilder &_fbb, const MemberEntryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4574,6 +5585,7 @@
   auto _warm_up_ms = _o->warm_up_ms;
   auto _per_second = _o->per_second;
   auto _departures = _o->departures.size() ? _fbb.CreateVector<flatbuffers::Offset<sequoiastep::wire::Departure>> (_o->departures.size(), [](size_t i, _VectorArgs *__va) { return CreateDeparture(*__va->__fbb, __va->__o->departures[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _version = _o->version.empty() ? 0 : _fbb.CreateString(_o->version);
   return sequoiastep::wire::CreateMemberEntry(
       _fbb,
       _node,
@@ -4587,7 +5599,8 @@
       _slots,
       _warm_up_ms,
       _per_second,
-      _departures);
+      _departures,
+      _version);
 }
 
 inline JoinT *Join::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
@@ -4714,7 +5727,8 @@
         subtree((o.subtree) ? new sequoiastep::wire::DomainSummaryT(*o.subtree) : nullptr),
         echo(o.echo),
         operator_version(o.operator_version),
-        store_era(o.store_era) {
+        store_era(o.store_era),
+        rollout_digest(o.rollout_digest) {
   domains.reserve(o.domains.size());
   for (const auto &domains_ : o.domains) { domains.emplace_back((domains_) ? new sequoiastep::wire::DomainSummaryT(*domains_) : nullptr); }
 }
@@ -4729,6 +5743,7 @@
   std::swap(echo, o.echo);
   std::swap(operator_version, o.operator_version);
   std::swap(store_era, o.store_era);
+  std::swap(rollout_digest, o.rollout_digest);
   return *this;
 }
 
@@ -4750,6 +5765,7 @@
   { auto _e = echo(); _o->echo = _e; }
   { auto _e = operator_version(); _o->operator_version = _e; }
   { auto _e = store_era(); _o->store_era = _e; }
+  { auto _e = rollout_digest(); _o->rollout_digest = _e; }
 }
 
 inline flatbuffers::Offset<Heartbeat> Heartbeat::Pack(flatbuffers::FlatBufferBuilder &_fbb, const HeartbeatT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -4769,6 +5785,7 @@
   auto _echo = _o->echo;
   auto _operator_version = _o->operator_version;
   auto _store_era = _o->store_era;
+  auto _rollout_digest = _o->rollout_digest;
   return sequoiastep::wire::CreateHeartbeat(
       _fbb,
       _applied,
@@ -4779,7 +5796,8 @@
       _domains,
       _echo,
       _operator_version,
-      _store_era);
+      _store_era,
+      _rollout_digest);
 }
 
 inline MemberUpdateT::MemberUpdateT(const MemberUpdateT &o) {
@@ -5220,7 +6238,8 @@
         route(o.route),
         most_wait_ms(o.most_wait_ms),
         remembered((o.remembered) ? new sequoiastep::wire::TargetNoticeT(*o.remembered) : nullptr),
-        body_size(o.body_size) {
+        body_size(o.body_size),
+        workspace(o.workspace) {
   headers.reserve(o.headers.size());
   for (const auto &headers_ : o.headers) { headers.emplace_back((headers_) ? new sequoiastep::wire::HeaderT(*headers_) : nullptr); }
 }
@@ -5251,6 +6270,7 @@
   std::swap(most_wait_ms, o.most_wait_ms);
   std::swap(remembered, o.remembered);
   std::swap(body_size, o.body_size);
+  std::swap(workspace, o.workspace);
   return *this;
 }
 
@@ -5288,6 +6308,7 @@
   { auto _e = most_wait_ms(); _o->most_wait_ms = _e; }
   { auto _e = remembered(); if (_e) _o->remembered = std::unique_ptr<sequoiastep::wire::TargetNoticeT>(_e->UnPack(_resolver)); }
   { auto _e = body_size(); _o->body_size = _e; }
+  { auto _e = workspace(); if (_e) _o->workspace = _e->str(); }
 }
 
 inline flatbuffers::Offset<Call> Call::Pack(flatbuffers::FlatBufferBuilder &_fbb, const CallT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -5323,6 +6344,7 @@
   auto _most_wait_ms = _o->most_wait_ms;
   auto _remembered = _o->remembered ? CreateTargetNotice(_fbb, _o->remembered.get(), _rehasher) : 0;
   auto _body_size = _o->body_size;
+  auto _workspace = _o->workspace.empty() ? 0 : _fbb.CreateString(_o->workspace);
   return sequoiastep::wire::CreateCall(
       _fbb,
       _id,
@@ -5349,7 +6371,8 @@
       _route,
       _most_wait_ms,
       _remembered,
-      _body_size);
+      _body_size,
+      _workspace);
 }
 
 inline AnswerT::AnswerT(const AnswerT &o)
@@ -5607,6 +6630,284 @@
       _within_ms);
 }
 
+inline QuotaAskT *QuotaAsk::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<QuotaAskT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void QuotaAsk::UnPackTo(QuotaAskT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = id(); _o->id = _e; }
+  { auto _e = workspace(); if (_e) _o->workspace = _e->str(); }
+  { auto _e = tokens(); _o->tokens = _e; }
+  { auto _e = demand_per_s(); _o->demand_per_s = _e; }
+}
+
+inline flatbuffers::Offset<QuotaAsk> QuotaAsk::Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuotaAskT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateQuotaAsk(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<QuotaAsk> CreateQuotaAsk(flatbuffers::FlatBufferBuilder &_fbb, const QuotaAskT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const QuotaAskT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id;
+  auto _workspace = _o->workspace.empty() ? 0 : _fbb.CreateString(_o->workspace);
+  auto _tokens = _o->tokens;
+  auto _demand_per_s = _o->demand_per_s;
+  return sequoiastep::wire::CreateQuotaAsk(
+      _fbb,
+      _id,
+      _workspace,
+      _tokens,
+      _demand_per_s);
+}
+
+inline QuotaGrantT *QuotaGrant::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<QuotaGrantT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void QuotaGrant::UnPackTo(QuotaGrantT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = id(); _o->id = _e; }
+  { auto _e = tokens(); _o->tokens = _e; }
+  { auto _e = lifetime_ms(); _o->lifetime_ms = _e; }
+  { auto _e = retry_after_ms(); _o->retry_after_ms = _e; }
+  { auto _e = not_owner(); _o->not_owner = _e; }
+}
+
+inline flatbuffers::Offset<QuotaGrant> QuotaGrant::Pack(flatbuffers::FlatBufferBuilder &_fbb, const QuotaGrantT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateQuotaGrant(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<QuotaGrant> CreateQuotaGrant(flatbuffers::FlatBufferBuilder &_fbb, const QuotaGrantT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const QuotaGrantT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _id = _o->id;
+  auto _tokens = _o->tokens;
+  auto _lifetime_ms = _o->lifetime_ms;
+  auto _retry_after_ms = _o->retry_after_ms;
+  auto _not_owner = _o->not_owner;
+  return sequoiastep::wire::CreateQuotaGrant(
+      _fbb,
+      _id,
+      _tokens,
+      _lifetime_ms,
+      _retry_after_ms,
+      _not_owner);
+}
+
+inline RolloutEntryT *RolloutEntry::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RolloutEntryT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RolloutEntry::UnPackTo(RolloutEntryT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
+  { auto _e = version(); if (_e) _o->version = _e->str(); }
+  { auto _e = order_era(); _o->order_era = _e; }
+  { auto _e = order_offset(); _o->order_offset = _e; }
+  { auto _e = duration_ms(); _o->duration_ms = _e; }
+  { auto _e = left_ms(); _o->left_ms = _e; }
+  { auto _e = phase(); _o->phase = _e; }
+  { auto _e = final_offset(); _o->final_offset = _e; }
+  { auto _e = established(); if (_e) _o->established = _e->str(); }
+}
+
+inline flatbuffers::Offset<RolloutEntry> RolloutEntry::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RolloutEntryT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRolloutEntry(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RolloutEntry> CreateRolloutEntry(flatbuffers::FlatBufferBuilder &_fbb, const RolloutEntryT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RolloutEntryT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
+  auto _version = _o->version.empty() ? 0 : _fbb.CreateString(_o->version);
+  auto _order_era = _o->order_era;
+  auto _order_offset = _o->order_offset;
+  auto _duration_ms = _o->duration_ms;
+  auto _left_ms = _o->left_ms;
+  auto _phase = _o->phase;
+  auto _final_offset = _o->final_offset;
+  auto _established = _o->established.empty() ? 0 : _fbb.CreateString(_o->established);
+  return sequoiastep::wire::CreateRolloutEntry(
+      _fbb,
+      _service,
+      _version,
+      _order_era,
+      _order_offset,
+      _duration_ms,
+      _left_ms,
+      _phase,
+      _final_offset,
+      _established);
+}
+
+inline RolloutUpdateT::RolloutUpdateT(const RolloutUpdateT &o)
+      : reply_wanted(o.reply_wanted) {
+  entries.reserve(o.entries.size());
+  for (const auto &entries_ : o.entries) { entries.emplace_back((entries_) ? new sequoiastep::wire::RolloutEntryT(*entries_) : nullptr); }
+}
+
+inline RolloutUpdateT &RolloutUpdateT::operator=(RolloutUpdateT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(entries, o.entries);
+  std::swap(reply_wanted, o.reply_wanted);
+  return *this;
+}
+
+inline RolloutUpdateT *RolloutUpdate::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RolloutUpdateT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RolloutUpdate::UnPackTo(RolloutUpdateT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = entries(); if (_e) { _o->entries.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->entries[_i] = std::unique_ptr<sequoiastep::wire::RolloutEntryT>(_e->Get(_i)->UnPack(_resolver)); } } }
+  { auto _e = reply_wanted(); _o->reply_wanted = _e; }
+}
+
+inline flatbuffers::Offset<RolloutUpdate> RolloutUpdate::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RolloutUpdateT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRolloutUpdate(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RolloutUpdate> CreateRolloutUpdate(flatbuffers::FlatBufferBuilder &_fbb, const RolloutUpdateT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RolloutUpdateT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _entries = _o->entries.size() ? _fbb.CreateVector<flatbuffers::Offset<sequoiastep::wire::RolloutEntry>> (_o->entries.size(), [](size_t i, _VectorArgs *__va) { return CreateRolloutEntry(*__va->__fbb, __va->__o->entries[i].get(), __va->__rehasher); }, &_va ) : 0;
+  auto _reply_wanted = _o->reply_wanted;
+  return sequoiastep::wire::CreateRolloutUpdate(
+      _fbb,
+      _entries,
+      _reply_wanted);
+}
+
+inline RouteEvidenceT *RouteEvidence::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RouteEvidenceT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RouteEvidence::UnPackTo(RouteEvidenceT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = route(); if (_e) _o->route = _e->str(); }
+  { auto _e = requests(); _o->requests = _e; }
+  { auto _e = errors(); _o->errors = _e; }
+  { auto _e = run_ms(); _o->run_ms = _e; }
+  { auto _e = run_ms_squared(); _o->run_ms_squared = _e; }
+}
+
+inline flatbuffers::Offset<RouteEvidence> RouteEvidence::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RouteEvidenceT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRouteEvidence(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RouteEvidence> CreateRouteEvidence(flatbuffers::FlatBufferBuilder &_fbb, const RouteEvidenceT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RouteEvidenceT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _route = _o->route.empty() ? 0 : _fbb.CreateString(_o->route);
+  auto _requests = _o->requests;
+  auto _errors = _o->errors;
+  auto _run_ms = _o->run_ms;
+  auto _run_ms_squared = _o->run_ms_squared;
+  return sequoiastep::wire::CreateRouteEvidence(
+      _fbb,
+      _route,
+      _requests,
+      _errors,
+      _run_ms,
+      _run_ms_squared);
+}
+
+inline RolloutEvidenceT::RolloutEvidenceT(const RolloutEvidenceT &o)
+      : service(o.service),
+        order_era(o.order_era),
+        order_offset(o.order_offset),
+        node(o.node),
+        incarnation(o.incarnation),
+        version(o.version),
+        sequence(o.sequence),
+        outstanding(o.outstanding) {
+  routes.reserve(o.routes.size());
+  for (const auto &routes_ : o.routes) { routes.emplace_back((routes_) ? new sequoiastep::wire::RouteEvidenceT(*routes_) : nullptr); }
+}
+
+inline RolloutEvidenceT &RolloutEvidenceT::operator=(RolloutEvidenceT o) FLATBUFFERS_NOEXCEPT {
+  std::swap(service, o.service);
+  std::swap(order_era, o.order_era);
+  std::swap(order_offset, o.order_offset);
+  std::swap(node, o.node);
+  std::swap(incarnation, o.incarnation);
+  std::swap(version, o.version);
+  std::swap(sequence, o.sequence);
+  std::swap(outstanding, o.outstanding);
+  std::swap(routes, o.routes);
+  return *this;
+}
+
+inline RolloutEvidenceT *RolloutEvidence::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
+  auto _o = std::make_unique<RolloutEvidenceT>();
+  UnPackTo(_o.get(), _resolver);
+  return _o.release();
+}
+
+inline void RolloutEvidence::UnPackTo(RolloutEvidenceT *_o, const flatbuffers::resolver_function_t *_resolver) const {
+  (void)_o;
+  (void)_resolver;
+  { auto _e = service(); if (_e) _o->service = _e->str(); }
+  { auto _e = order_era(); _o->order_era = _e; }
+  { auto _e = order_offset(); _o->order_offset = _e; }
+  { auto _e = node(); if (_e) _o->node = _e->str(); }
+  { auto _e = incarnation(); _o->incarnation = _e; }
+  { auto _e = version(); if (_e) _o->version = _e->str(); }
+  { auto _e = sequence(); _o->sequence = _e; }
+  { auto _e = outstanding(); _o->outstanding = _e; }
+  { auto _e = routes(); if (_e) { _o->routes.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->routes[_i] = std::unique_ptr<sequoiastep::wire::RouteEvidenceT>(_e->Get(_i)->UnPack(_resolver)); } } }
+}
+
+inline flatbuffers::Offset<RolloutEvidence> RolloutEvidence::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RolloutEvidenceT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
+  return CreateRolloutEvidence(_fbb, _o, _rehasher);
+}
+
+inline flatbuffers::Offset<RolloutEvidence> CreateRolloutEvidence(flatbuffers::FlatBufferBuilder &_fbb, const RolloutEvidenceT *_o, const flatbuffers::rehasher_function_t *_rehasher) {
+  (void)_rehasher;
+  (void)_o;
+  struct _VectorArgs { flatbuffers::FlatBufferBuilder *__fbb; const RolloutEvidenceT* __o; const flatbuffers::rehasher_function_t *__rehasher; } _va = { &_fbb, _o, _rehasher}; (void)_va;
+  auto _service = _o->service.empty() ? 0 : _fbb.CreateString(_o->service);
+  auto _order_era = _o->order_era;
+  auto _order_offset = _o->order_offset;
+  auto _node = _o->node.empty() ? 0 : _fbb.CreateString(_o->node);
+  auto _incarnation = _o->incarnation;
+  auto _version = _o->version.empty() ? 0 : _fbb.CreateString(_o->version);
+  auto _sequence = _o->sequence;
+  auto _outstanding = _o->outstanding;
+  auto _routes = _o->routes.size() ? _fbb.CreateVector<flatbuffers::Offset<sequoiastep::wire::RouteEvidence>> (_o->routes.size(), [](size_t i, _VectorArgs *__va) { return CreateRouteEvidence(*__va->__fbb, __va->__o->routes[i].get(), __va->__rehasher); }, &_va ) : 0;
+  return sequoiastep::wire::CreateRolloutEvidence(
+      _fbb,
+      _service,
+      _order_era,
+      _order_offset,
+      _node,
+      _incarnation,
+      _version,
+      _sequence,
+      _outstanding,
+      _routes);
+}
+
 inline EnvelopeT *Envelope::UnPack(const flatbuffers::resolver_function_t *_resolver) const {
   auto _o = std::make_unique<EnvelopeT>();
   UnPackTo(_o.get(), _resolver);
@@ -5765,6 +7066,22 @@
       auto ptr = reinterpret_cast<const sequoiastep::wire::Shorten *>(obj);
       return verifier.VerifyTable(ptr);
     }
+    case Body::QuotaAsk: {
+      auto ptr = reinterpret_cast<const sequoiastep::wire::QuotaAsk *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::QuotaGrant: {
+      auto ptr = reinterpret_cast<const sequoiastep::wire::QuotaGrant *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::RolloutUpdate: {
+      auto ptr = reinterpret_cast<const sequoiastep::wire::RolloutUpdate *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
+    case Body::RolloutEvidence: {
+      auto ptr = reinterpret_cast<const sequoiastep::wire::RolloutEvidence *>(obj);
+      return verifier.VerifyTable(ptr);
+    }
     default: return true;
   }
 }
@@ -5864,6 +7181,22 @@
       auto ptr = reinterpret_cast<const sequoiastep::wire::Shorten *>(obj);
       return ptr->UnPack(resolver);
     }
+    case Body::QuotaAsk: {
+      auto ptr = reinterpret_cast<const sequoiastep::wire::QuotaAsk *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::QuotaGrant: {
+      auto ptr = reinterpret_cast<const sequoiastep::wire::QuotaGrant *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::RolloutUpdate: {
+      auto ptr = reinterpret_cast<const sequoiastep::wire::RolloutUpdate *>(obj);
+      return ptr->UnPack(resolver);
+    }
+    case Body::RolloutEvidence: {
+      auto ptr = reinterpret_cast<const sequoiastep::wire::RolloutEvidence *>(obj);
+      return ptr->UnPack(resolver);
+    }
     default: return nullptr;
   }
 }
@@ -5951,6 +7284,22 @@
       auto ptr = reinterpret_cast<const sequoiastep::wire::ShortenT *>(value);
       return CreateShorten(_fbb, ptr, _rehasher).Union();
     }
+    case Body::QuotaAsk: {
+      auto ptr = reinterpret_cast<const sequoiastep::wire::QuotaAskT *>(value);
+      return CreateQuotaAsk(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::QuotaGrant: {
+      auto ptr = reinterpret_cast<const sequoiastep::wire::QuotaGrantT *>(value);
+      return CreateQuotaGrant(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::RolloutUpdate: {
+      auto ptr = reinterpret_cast<const sequoiastep::wire::RolloutUpdateT *>(value);
+      return CreateRolloutUpdate(_fbb, ptr, _rehasher).Union();
+    }
+    case Body::RolloutEvidence: {
+      auto ptr = reinterpret_cast<const sequoiastep::wire::RolloutEvidenceT *>(value);
+      return CreateRolloutEvidence(_fbb, ptr, _rehasher).Union();
+    }
     default: return 0;
   }
 }
@@ -6037,6 +7386,22 @@
       value = new sequoiastep::wire::ShortenT(*reinterpret_cast<sequoiastep::wire::ShortenT *>(u.value));
       break;
     }
+    case Body::QuotaAsk: {
+      value = new sequoiastep::wire::QuotaAskT(*reinterpret_cast<sequoiastep::wire::QuotaAskT *>(u.value));
+      break;
+    }
+    case Body::QuotaGrant: {
+      value = new sequoiastep::wire::QuotaGrantT(*reinterpret_cast<sequoiastep::wire::QuotaGrantT *>(u.value));
+      break;
+    }
+    case Body::RolloutUpdate: {
+      value = new sequoiastep::wire::RolloutUpdateT(*reinterpret_cast<sequoiastep::wire::RolloutUpdateT *>(u.value));
+      break;
+    }
+    case Body::RolloutEvidence: {
+      value = new sequoiastep::wire::RolloutEvidenceT(*reinterpret_cast<sequoiastep::wire::RolloutEvidenceT *>(u.value));
+      break;
+    }
     default:
       break;
   }
@@ -6144,6 +7509,26 @@
       delete ptr;
       break;
     }
+    case Body::QuotaAsk: {
+      auto ptr = reinterpret_cast<sequoiastep::wire::QuotaAskT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::QuotaGrant: {
+      auto ptr = reinterpret_cast<sequoiastep::wire::QuotaGrantT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::RolloutUpdate: {
+      auto ptr = reinterpret_cast<sequoiastep::wire::RolloutUpdateT *>(value);
+      delete ptr;
+      break;
+    }
+    case Body::RolloutEvidence: {
+      auto ptr = reinterpret_cast<sequoiastep::wire::RolloutEvidenceT *>(value);
+      delete ptr;
+      break;
+    }
     default: break;
   }
   value = nullptr;
