--- /dev/null
+++ b/modules/quota/src/Options.cpp
@@ -0,0 +1,1 @@
+#include "Options.h"
