Authenticate callers by the key of their workspace

The workspace's priority replaces the route's; workspaces take turns in the queue beside a target; a stored response belongs to its workspace.

--- a/modules/node/src/CallLog.cpp
+++ b/modules/node/src/CallLog.cpp
@@ -25,8 +25,11 @@
 AddCallFields(LogLine& aLine, const CallJob& aJob, const CallAttempts& aAttempts)
 {
   const Instant now = Clock::Now();
-  aLine.Add("id", aJob.m_call.request_id)
-    .Add("route", aJob.m_call.route)
+  aLine.Add("id", aJob.m_call.request_id);
+  if (!aJob.m_call.workspace.empty()) {
+    aLine.Add("workspace", aJob.m_call.workspace);
+  }
+  aLine.Add("route", aJob.m_call.route)
     .Add("service", aJob.m_call.service)
     .Add("version", aJob.m_call.version)
     .Add("last_node", aAttempts.m_lastNode)
@@ -55,6 +58,19 @@
     .Add("version", aVersion);
 }
 
+void
+LogUnauthorized(std::string_view aRequestId,
+                std::string_view aReason,
+                std::string_view aKeyFingerprint,
+                std::uint64_t aVersion)
+{
+  LogLine(LogLevel::Info, "request_unauthorized", aReason)
+    .Add("id", aRequestId)
+    .Add("reason", aReason)
+    .Add("key_hash", aKeyFingerprint)
+    .Add("version", aVersion);
+}
+
 void
 LogFailedAttempt(const CallJob& aJob,
                  const CallAttempts& aAttempts,
--- a/modules/node/src/CallLog.h
+++ b/modules/node/src/CallLog.h
@@ -14,6 +14,14 @@
 void
 LogRejectedRequest(std::string_view aRequestId, std::string_view aReason, std::uint64_t aVersion);
 
+/// Logs a request that was rejected for its key.
+/// @param aKeyFingerprint stands for the key; empty if there is none.
+void
+LogUnauthorized(std::string_view aRequestId,
+                std::string_view aReason,
+                std::string_view aKeyFingerprint,
+                std::uint64_t aVersion);
+
 /// Logs an attempt that did not succeed: its outcome, and whether another one follows and why.
 /// @param aAnswer answer of the attempt.
 /// @param aBudgetLeft retries that the budget still allows.
--- a/modules/node/src/CallProxy.cpp
+++ b/modules/node/src/CallProxy.cpp
@@ -3,6 +3,7 @@
 #include "Address.h"
 #include "CallLog.h"
 #include "CallProxyPriv.h"
+#include "CallerAccess.h"
 #include "HttpClient.h"
 #include "Log.h"
 #include "Names.h"
@@ -363,6 +364,11 @@
                           CallOutcome::NotRun,
                           "paths under /.sequoiastep/ are reserved and this one is not served now");
   }
+  // A configuration that is stale after a pause may still have keys that were removed.
+  co_await HoldWhileControlStale();
+  if (auto refusal = RefuseUnauthenticated(aRequest)) {
+    co_return std::move(*refusal);
+  }
   if (aRequest.count(std::string(kIdempotencyKeyHeader)) > 0) {
     HttpResponse response = co_await RouteKeyed(std::move(aRequest));
     co_return response;
@@ -371,6 +377,27 @@
   co_return response;
 }
 
+// Authenticates a caller's request. Returns the response if the request must be refused.
+std::optional<HttpResponse>
+CallProxy::RefuseUnauthenticated(HttpRequest& aRequest)
+{
+  const auto snapshot = m_shared.m_snapshot.load();
+  if (!snapshot) {
+    return RefuseNotReady(aRequest); // Without a configuration no key is known.
+  }
+  const auto refusal = AuthenticateCaller(*snapshot->m_effective, aRequest);
+  if (!refusal) {
+    return std::nullopt;
+  }
+  m_shared.m_calls.m_unauthorized.fetch_add(1, std::memory_order_relaxed);
+  CountOutcome(CallOutcome::NotRun);
+  LogUnauthorized(aRequest[adapter::kRequestId],
+                  refusal->m_reason,
+                  refusal->m_keyFingerprint,
+                  snapshot->m_version);
+  return MakeUnauthorized(*refusal);
+}
+
 void
 CallProxy::CountOutcome(CallOutcome aOutcome)
 {
--- a/modules/node/src/CallProxy.h
+++ b/modules/node/src/CallProxy.h
@@ -107,6 +107,8 @@
 
   net::Awaitable<net::HttpResponse> HandleCallerRequest(net::HttpRequest aRequest);
   net::Awaitable<net::HttpResponse> HandleAdmitted(net::HttpRequest aRequest);
+  std::optional<net::HttpResponse> RefuseUnauthenticated(net::HttpRequest& aRequest);
+  net::HttpResponse RefuseNotReady(const net::HttpRequest& aRequest);
   net::Awaitable<net::HttpResponse> Route(net::HttpRequest aRequest);
   net::Awaitable<net::HttpResponse> RouteKeyed(net::HttpRequest aRequest);
   net::Awaitable<net::HttpResponse> ForwardToIssuer(idempotency::IssuedKey aKey,
--- a/modules/node/src/CallProxyMetrics.cpp
+++ b/modules/node/src/CallProxyMetrics.cpp
@@ -26,6 +26,7 @@
   counter("version_holds_expired", counters.m_versionHoldsExpired);
   counter("cross_region_bytes", counters.m_crossRegionBytes);
   counter("late_answers", counters.m_lateAnswers);
+  counter("unauthorized", counters.m_unauthorized);
   counter("cancelled", counters.m_cancelled);
   text += fmt::format("sequoiastep_calls_in_progress {}\n", m_callerRequests);
   text += fmt::format("sequoiastep_target_outstanding {}\n", m_runner.Outstanding());
--- a/modules/node/src/CallProxyRoute.cpp
+++ b/modules/node/src/CallProxyRoute.cpp
@@ -3,6 +3,7 @@
 #include "CallLog.h"
 #include "CallProxy.h"
 #include "CallProxyPriv.h"
+#include "CallerAccess.h"
 #include "Headers.h"
 #include "Log.h"
 #include "Names.h"
@@ -46,14 +47,6 @@
 // Assumed answer size of a route with large answers before its first answer.
 constexpr double kLargeAnswerKilobytes = 64;
 
-config::RouteQuery
-RouteQueryOf(const HttpRequest& aRequest)
-{
-  return { .m_host = aRequest[http::field::host],
-           .m_method = aRequest.method_string(),
-           .m_path = net::PathOf(aRequest.target()) };
-}
-
 // The smallest of the route's timeout and the timeouts in the caller's headers, the latter less the
 // time that the answer needs to reach the caller.
 Milliseconds
@@ -159,7 +152,11 @@
   job.m_call.caller_service = m_settings.m_targetService;
   job.m_call.request_id = aRequest[adapter::kRequestId];
   job.m_call.repeatable = aRoute.m_repeat == config::Repeat::Safe;
-  job.m_call.priority = aRoute.m_priority;
+  job.m_call.workspace = WorkspaceOf(aRequest);
+  const config::Workspace* workspace =
+    config::FindWorkspace(aSnapshot.m_effective->m_workspaces, job.m_call.workspace);
+  job.m_call.priority =
+    workspace == nullptr ? aRoute.m_priority : workspace->m_priority.value_or(aRoute.m_priority);
   job.m_call.route = aRoute.m_name;
   const double assumedAnswer = aRoute.m_largeAnswers ? kLargeAnswerKilobytes : 0;
   job.m_estimatedKilobytes =
@@ -168,6 +165,19 @@
   return job;
 }
 
+HttpResponse
+CallProxy::RefuseNotReady(const HttpRequest& aRequest)
+{
+  constexpr std::string_view kNotReady = "this node is not ready yet; try another node or later";
+  const auto snapshot = m_shared.m_snapshot.load();
+  CountOutcome(CallOutcome::NotRun);
+  LogRejectedRequest(aRequest[adapter::kRequestId], kNotReady, snapshot ? snapshot->m_version : 0);
+  HttpResponse response =
+    MakeProblem(http::status::service_unavailable, CallOutcome::NotRun, kNotReady);
+  response.set(http::field::retry_after, "0.3");
+  return response;
+}
+
 Awaitable<HttpResponse>
 CallProxy::Route(HttpRequest aRequest)
 {
@@ -175,14 +185,7 @@
   // One snapshot from here to the end of the call.
   std::shared_ptr<const config::Snapshot> snapshot = m_shared.m_snapshot.load();
   if (!m_shared.m_ready.load() || !snapshot) {
-    constexpr std::string_view kNotReady = "this node is not ready yet; try another node or later";
-    CountOutcome(CallOutcome::NotRun);
-    LogRejectedRequest(
-      aRequest[adapter::kRequestId], kNotReady, snapshot ? snapshot->m_version : 0);
-    HttpResponse response =
-      MakeProblem(http::status::service_unavailable, CallOutcome::NotRun, kNotReady);
-    response.set(http::field::retry_after, "0.3");
-    co_return response;
+    co_return RefuseNotReady(aRequest);
   }
   if (const auto wanted = ParseNumber(aRequest["Sequoiastep-Version"])) {
     co_await HoldForVersion(*wanted);
--- a/modules/node/src/Headers.cpp
+++ b/modules/node/src/Headers.cpp
@@ -12,7 +12,7 @@
 
 namespace {
 
-constexpr std::array<std::string_view, 18> kHopByHopHeaders{
+constexpr std::array<std::string_view, 20> kHopByHopHeaders{
   "connection",
   "keep-alive",
   "proxy-authenticate",
@@ -31,6 +31,8 @@
   adapter::kDeadlineMs,
   adapter::kExpectedTarget,
   adapter::kCallerService,
+  adapter::kWorkspaceKey,
+  adapter::kWorkspace,
 };
 
 } // namespace
--- a/modules/node/src/KeyedCalls.cpp
+++ b/modules/node/src/KeyedCalls.cpp
@@ -1,5 +1,6 @@
 #include "KeyedCalls.h"
 
+#include "CallerAccess.h"
 #include "Hash.h"
 #include "HttpServer.h"
 #include "ParseNumber.h"
@@ -29,13 +30,17 @@
 constexpr std::int64_t kMaxWaitMs = 660'000;
 constexpr std::string_view kOutcomeHeader = "Sequoiastep-Outcome";
 
-// Digest of method, target and body. A key may be reused only for a request with the same digest.
+// Digest of method, target, body and workspace. A key may be reused only for a request with the
+// same digest, so that no workspace gets a response that is stored for another one.
 std::uint64_t
 RequestDigest(const HttpRequest& aRequest)
 {
-  const std::uint64_t head = Hash64(fmt::format(
-    "{} {}", std::string_view(aRequest.method_string()), std::string_view(aRequest.target())));
-  return Hash64(aRequest.body(), head);
+  std::string head = fmt::format(
+    "{} {}", std::string_view(aRequest.method_string()), std::string_view(aRequest.target()));
+  if (const std::string_view workspace = WorkspaceOf(aRequest); !workspace.empty()) {
+    head += fmt::format("\n{}", workspace);
+  }
+  return Hash64(aRequest.body(), Hash64(head));
 }
 
 HttpResponse
--- a/modules/node/src/SharedState.h
+++ b/modules/node/src/SharedState.h
@@ -48,6 +48,8 @@
   std::atomic<std::uint64_t> m_versionHoldsExpired{ 0 };
   std::atomic<std::uint64_t> m_crossRegionBytes{ 0 };
   std::atomic<std::uint64_t> m_lateAnswers{ 0 };
+  /// Requests without a key of a workspace, or with an unknown one.
+  std::atomic<std::uint64_t> m_unauthorized{ 0 };
   std::atomic<std::uint64_t> m_cancelled{ 0 };
 };
 
--- a/modules/node/src/TargetExchange.cpp
+++ b/modules/node/src/TargetExchange.cpp
@@ -50,6 +50,9 @@
   if (!aCall.caller_service.empty()) {
     request.set(adapter::kCallerService, aCall.caller_service);
   }
+  if (!aCall.workspace.empty()) {
+    request.set(adapter::kWorkspace, aCall.workspace);
+  }
   request.set(adapter::kDeadlineMs, std::to_string(aLeftMs));
   request.set("traceparent",
               FormatTraceparent({ .m_traceHigh = aCall.trace_high,
--- a/modules/node/src/TargetRunner.cpp
+++ b/modules/node/src/TargetRunner.cpp
@@ -321,13 +321,15 @@
 TargetRunner::MakeAdmissionRequest(const CallT& aCall, std::string aCaller)
 {
   const Instant now = Clock::Now();
-  routing::AdmissionRequest request{ .m_id = m_nextId++,
-                                     .m_caller = std::move(aCaller),
-                                     .m_priority = aCall.priority,
-                                     .m_serviceUs =
-                                       routing::AverageOf(m_serviceUs, aCall.route).value_or(0),
-                                     .m_deadline = now + aCall.timeout_ms,
-                                     .m_maxWaitMs = static_cast<Milliseconds>(aCall.most_wait_ms) };
+  // Workspaces take turns in the queue, whichever nodes their requests come from.
+  routing::AdmissionRequest request{
+    .m_id = m_nextId++,
+    .m_caller = aCall.workspace.empty() ? std::move(aCaller) : aCall.workspace,
+    .m_priority = aCall.priority,
+    .m_serviceUs = routing::AverageOf(m_serviceUs, aCall.route).value_or(0),
+    .m_deadline = now + aCall.timeout_ms,
+    .m_maxWaitMs = static_cast<Milliseconds>(aCall.most_wait_ms)
+  };
   if (aCall.objective_ms != 0) {
     request.m_objective = now + aCall.objective_ms;
   }
--- a/tools/StandInTarget.cpp
+++ b/tools/StandInTarget.cpp
@@ -179,6 +179,12 @@
     return response;
   }
 
+  // The value of a header that the node sends or must remove; empty if it did not arrive.
+  static std::string_view Received(const HttpRequest& aRequest, std::string_view aName)
+  {
+    return aRequest[aName];
+  }
+
   // Requests take four times as long during the warm-up.
   Milliseconds ServiceTimeMs() const
   {
@@ -217,13 +223,16 @@
       co_await timer.async_wait(asio::use_awaitable);
     }
     slot.m_finished = true;
-    HttpResponse response = net::MakeResponse(
-      http::status::ok,
-      "application/json",
-      json::serialize(json::object{ { "service", m_options.m_service },
-                                    { "path", std::string_view(aRequest.target()) },
-                                    { "request", id },
-                                    { "body", std::string_view(aRequest.body()) } }));
+    HttpResponse response =
+      net::MakeResponse(http::status::ok,
+                        "application/json",
+                        json::serialize(json::object{
+                          { "service", m_options.m_service },
+                          { "path", std::string_view(aRequest.target()) },
+                          { "request", id },
+                          { "workspace", Received(aRequest, "Sequoiastep-Tenant") },
+                          { "workspace_key", Received(aRequest, "Sequoiastep-Credential") },
+                          { "body", std::string_view(aRequest.body()) } }));
     response.set("X-Request-Id", id);
     AddNotice(response);
     co_return response;
