Run targets' own calls before new requests of their priority

Cause: a workspace's priority replaces the route's, so that callers of workspaces with the highest one stood beside the calls of targets at work, whose refusal loses work that is done. Change: where callers need a key, a call without a workspace is one of a target; it runs before new requests of its priority, also when it is late.

--- a/modules/node/src/TargetRunner.cpp
+++ b/modules/node/src/TargetRunner.cpp
@@ -317,6 +317,16 @@
   }
 }
 
+// Where callers need the key of a workspace, only targets' own calls come without one. Elsewhere
+// the two can't be told apart.
+bool
+TargetRunner::IsCallOfTarget(const CallT& aCall) const
+{
+  const auto snapshot = m_shared.m_snapshot.load();
+  return aCall.workspace.empty() && snapshot &&
+         !snapshot->m_effective->m_workspaces.m_byName.empty();
+}
+
 routing::AdmissionRequest
 TargetRunner::MakeAdmissionRequest(const CallT& aCall, std::string aCaller)
 {
@@ -326,6 +336,7 @@
     .m_id = m_nextId++,
     .m_caller = aCall.workspace.empty() ? std::move(aCaller) : aCall.workspace,
     .m_priority = aCall.priority,
+    .m_continuesWork = IsCallOfTarget(aCall),
     .m_serviceUs = routing::AverageOf(m_serviceUs, aCall.route).value_or(0),
     .m_deadline = now + aCall.timeout_ms,
     .m_maxWaitMs = static_cast<Milliseconds>(aCall.most_wait_ms)
--- a/modules/node/src/TargetRunner.h
+++ b/modules/node/src/TargetRunner.h
@@ -98,6 +98,7 @@
                                             std::string aCaller,
                                             std::shared_ptr<TargetRun> aRun);
   net::Awaitable<routing::AdmissionResult> Admit(routing::AdmissionRequest aRequest);
+  bool IsCallOfTarget(const wire::CallT& aCall) const;
   routing::AdmissionRequest MakeAdmissionRequest(const wire::CallT& aCall, std::string aCaller);
   net::Awaitable<wire::AnswerT> Dispatch(const wire::CallT& aCall,
                                          Instant aDeadline,
--- a/modules/routing/include/AdmissionQueue.h
+++ b/modules/routing/include/AdmissionQueue.h
@@ -48,6 +48,9 @@
   std::string m_caller;
   /// Priority; 0 is the highest.
   std::uint32_t m_priority = 0;
+  /// It is a call of a target that works on another request, whose work is lost if it is refused.
+  /// Such calls run before new requests of the same priority.
+  bool m_continuesWork = false;
   /// Expected run time in microseconds; 0 to use the queue's average.
   double m_serviceUs = 0;
   /// The caller's deadline.
--- a/modules/routing/src/AdmissionQueue.cpp
+++ b/modules/routing/src/AdmissionQueue.cpp
@@ -63,6 +63,7 @@
   const auto key = [&](const AdmissionRequest& aRequest) {
     const bool late = !MeetsObjective(aQueue, aRequest, aNow);
     return std::tuple(aRequest.m_priority,
+                      !aRequest.m_continuesWork,
                       late,
                       late ? aRequest.m_deadline : aRequest.m_objective,
                       LastServed(aQueue, aRequest.m_caller),
