Split targets by version, bound the trial's share, and judge a rollout

RouteEvidence gets the field run_buckets at its end: slowness is judged by the share of answers above a run time, since sums of run times and of their squares tell too little with a long tail.

--- a/modules/rollout/include/Evidence.h
+++ b/modules/rollout/include/Evidence.h
@@ -6,6 +6,8 @@
 #include "Clock.h"
 #include "RolloutTable.h"
 
+#include <array>
+#include <cstddef>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -19,6 +21,16 @@
 constexpr Milliseconds kEvidenceIntervalMs = 500;
 /// Shortest interval, for counts with new errors.
 constexpr Milliseconds kUrgentEvidenceIntervalMs = 100;
+/// Interval for targets of the version on trial. They are few, and a verdict waits for them.
+constexpr Milliseconds kTrialEvidenceIntervalMs = 200;
+
+/// Number of run time buckets. The last one has no upper bound; the one before ends at 33 s.
+constexpr std::size_t kRunBuckets = 32;
+/// Buckets by which the run time doubles: the upper bound of bucket i is 2^(i/2) ms.
+constexpr std::size_t kBucketsPerDoubling = 2;
+
+/// Answers by run time.
+using RunBuckets = std::array<std::uint32_t, kRunBuckets>;
 
 /// Answers to the requests of one route.
 struct RouteCounts
@@ -28,8 +40,14 @@
   /// Sum of run times in milliseconds, and of their squares.
   double m_runMs = 0;
   double m_runMsSquared = 0;
+  /// Answers without an error by run time.
+  RunBuckets m_buckets{};
 };
 
+/// @return the bucket of a run time of aRunMs milliseconds.
+std::size_t
+RunBucketOf(double aRunMs);
+
 /// Counts of the target beside this node since the node learnt of the order.
 struct TargetEvidence
 {
@@ -52,7 +70,8 @@
              bool aFailed,
              double aRunMs);
 
-/// @return the message for the judges if one is due, and marks it as sent.
+/// @return the message for the judges if one is due, and marks it as sent. The caller sets its node
+/// and incarnation. Nothing is due once the rollout has a final phase.
 /// @param aOutstanding requests that run or wait at the target.
 std::optional<wire::RolloutEvidenceT>
 TakeDueEvidence(TargetEvidence& aEvidence,
--- a/modules/rollout/include/VersionSplit.h
+++ b/modules/rollout/include/VersionSplit.h
@@ -17,6 +17,10 @@
 /// Versions without an order are held back for this long, since the order may be on its way.
 constexpr Milliseconds kUnorderedHoldMs = 5000;
 
+/// The established version is chosen anew from the targets for this long after it was first chosen,
+/// since a node that has just started may not know all targets yet.
+constexpr Milliseconds kEstablishMs = 2000;
+
 /// What a node knows of the versions of one service.
 struct VersionHistory
 {
@@ -26,6 +30,16 @@
   std::map<std::string, Instant, std::less<>> m_unorderedSince;
   /// Versions that were rolled back. An order that names one again removes it.
   std::set<std::string, std::less<>> m_barred;
+  /// Versions that a completed rollout replaced, and since when. Their targets are being stopped.
+  std::map<std::string, Instant, std::less<>> m_retired;
+  /// m_established was chosen, at m_chosenAt; it may be empty, for targets that report no version.
+  bool m_known = false;
+  Instant m_chosenAt;
+  /// Since when no target of the established version is there.
+  std::optional<Instant> m_absentSince;
+  /// Rollout whose final phase is accounted for above.
+  OrderId m_settledOrder;
+  RolloutPhase m_settledPhase = RolloutPhase::Trial;
 };
 
 /// The targets of one service by use.
@@ -41,6 +55,15 @@
 };
 
 /// Splits the targets of a service and updates what is known of its versions.
+///
+/// A service is not left without a regular target while there is a choice. If no target of an
+/// allowed version is there, the first of these takes its place:
+/// 1. while requests shift to the new version, and later than kUnorderedHoldMs after it was
+///    completed, targets of the old version;
+/// 2. targets of the version on trial, if no old version is known, or none of its targets was there
+///    for kUnorderedHoldMs, or the deadline has passed;
+/// 3. targets of a version without an order, at once.
+/// A version that was rolled back is never used.
 /// @param aRollout the service's rollout; null if there is none.
 /// @param aShare largest share of the service's requests that a trial may get.
 VersionedCandidates
--- a/modules/wire/include/Messages_generated.h
+++ b/modules/wire/include/Messages_generated.h
@@ -4703,6 +4703,7 @@
   uint32_t errors = 0;
   double run_ms = 0.0;
   double run_ms_squared = 0.0;
+  std::vector<uint32_t> run_buckets{};
 };
 
 /// Answers of one target to requests of one route since the target's node learnt of the order.
@@ -4715,7 +4716,8 @@
     VT_REQUESTS = 6,
     VT_ERRORS = 8,
     VT_RUN_MS = 10,
-    VT_RUN_MS_SQUARED = 12
+    VT_RUN_MS_SQUARED = 12,
+    VT_RUN_BUCKETS = 14
   };
   const flatbuffers::String *route() const {
     return GetPointer<const flatbuffers::String *>(VT_ROUTE);
@@ -4734,6 +4736,11 @@
   double run_ms_squared() const {
     return GetField<double>(VT_RUN_MS_SQUARED, 0.0);
   }
+  /// Answers without an error by run time; the upper bound of bucket i is 2^(i/2) ms, without zeros
+  /// at the end.
+  const flatbuffers::Vector<uint32_t> *run_buckets() const {
+    return GetPointer<const flatbuffers::Vector<uint32_t> *>(VT_RUN_BUCKETS);
+  }
   bool Verify(flatbuffers::Verifier &verifier) const {
     return VerifyTableStart(verifier) &&
            VerifyOffset(verifier, VT_ROUTE) &&
@@ -4742,6 +4749,8 @@
            VerifyField<uint32_t>(verifier, VT_ERRORS, 4) &&
            VerifyField<double>(verifier, VT_RUN_MS, 8) &&
            VerifyField<double>(verifier, VT_RUN_MS_SQUARED, 8) &&
+           VerifyOffset(verifier, VT_RUN_BUCKETS) &&
+           verifier.VerifyVector(run_buckets()) &&
            verifier.EndTable();
   }
   RouteEvidenceT *UnPack(const flatbuffers::resolver_function_t *_resolver = nullptr) const;
@@ -4768,6 +4777,9 @@
   void add_run_ms_squared(double run_ms_squared) {
     fbb_.AddElement<double>(RouteEvidence::VT_RUN_MS_SQUARED, run_ms_squared, 0.0);
   }
+  void add_run_buckets(flatbuffers::Offset<flatbuffers::Vector<uint32_t>> run_buckets) {
+    fbb_.AddOffset(RouteEvidence::VT_RUN_BUCKETS, run_buckets);
+  }
   explicit RouteEvidenceBuilder(flatbuffers::FlatBufferBuilder &_fbb)
         : fbb_(_fbb) {
     start_ = fbb_.StartTable();
@@ -4785,10 +4797,12 @@
     uint32_t requests = 0,
     uint32_t errors = 0,
     double run_ms = 0.0,
-    double run_ms_squared = 0.0) {
+    double run_ms_squared = 0.0,
+    flatbuffers::Offset<flatbuffers::Vector<uint32_t>> run_buckets = 0) {
   RouteEvidenceBuilder builder_(_fbb);
   builder_.add_run_ms_squared(run_ms_squared);
   builder_.add_run_ms(run_ms);
+  builder_.add_run_buckets(run_buckets);
   builder_.add_errors(errors);
   builder_.add_requests(requests);
   builder_.add_route(route);
@@ -4806,15 +4820,18 @@
     uint32_t requests = 0,
     uint32_t errors = 0,
     double run_ms = 0.0,
-    double run_ms_squared = 0.0) {
+    double run_ms_squared = 0.0,
+    const std::vector<uint32_t> *run_buckets = nullptr) {
   auto route__ = route ? _fbb.CreateString(route) : 0;
+  auto run_buckets__ = run_buckets ? _fbb.CreateVector<uint32_t>(*run_buckets) : 0;
   return sequoiastep::wire::CreateRouteEvidence(
       _fbb,
       route__,
       requests,
       errors,
       run_ms,
-      run_ms_squared);
+      run_ms_squared,
+      run_buckets__);
 }
 
 flatbuffers::Offset<RouteEvidence> CreateRouteEvidence(flatbuffers::FlatBufferBuilder &_fbb, const RouteEvidenceT *_o, const flatbuffers::rehasher_function_t *_rehasher = nullptr);
@@ -6808,6 +6825,7 @@
   { auto _e = errors(); _o->errors = _e; }
   { auto _e = run_ms(); _o->run_ms = _e; }
   { auto _e = run_ms_squared(); _o->run_ms_squared = _e; }
+  { auto _e = run_buckets(); if (_e) { _o->run_buckets.resize(_e->size()); for (flatbuffers::uoffset_t _i = 0; _i < _e->size(); _i++) { _o->run_buckets[_i] = _e->Get(_i); } } }
 }
 
 inline flatbuffers::Offset<RouteEvidence> RouteEvidence::Pack(flatbuffers::FlatBufferBuilder &_fbb, const RouteEvidenceT* _o, const flatbuffers::rehasher_function_t *_rehasher) {
@@ -6823,13 +6841,15 @@
   auto _errors = _o->errors;
   auto _run_ms = _o->run_ms;
   auto _run_ms_squared = _o->run_ms_squared;
+  auto _run_buckets = _o->run_buckets.size() ? _fbb.CreateVector(_o->run_buckets) : 0;
   return sequoiastep::wire::CreateRouteEvidence(
       _fbb,
       _route,
       _requests,
       _errors,
       _run_ms,
-      _run_ms_squared);
+      _run_ms_squared,
+      _run_buckets);
 }
 
 inline RolloutEvidenceT::RolloutEvidenceT(const RolloutEvidenceT &o)
