--- a/modules/rollout/include/Exposure.h
+++ b/modules/rollout/include/Exposure.h
@@ -24,9 +24,10 @@
   std::uint64_t m_trialAttempts = 0;
   /// Attempts on trial by route, so that each route is covered.
   std::map<std::string, std::uint64_t, std::less<>> m_trialByRoute;
-  /// Random part of a request, drawn once, that is added before the allowed attempts are rounded
-  /// down. The attempts of all nodes together then have the share as their expected value from the
-  /// first request on, though each node sends only few requests.
+  /// Part of a trial, drawn anew for each, by which the next one waits until the share allows it.
+  /// The attempts of all nodes together then have the share as their expected value from the first
+  /// request on, though each node sends only few requests; one node never exceeds its share by more
+  /// than one attempt.
   double m_rounding = 0;
 };
 
--- a/modules/rollout/include/RolloutTable.h
+++ b/modules/rollout/include/RolloutTable.h
@@ -73,7 +73,8 @@
 IsFinal(RolloutPhase aPhase);
 
 /// Merges an entry. The later order wins; within an order, the later phase; between the two final
-/// phases, the one whose record lies first in the store, and before that RolledBack.
+/// phases, the one whose record lies first in the store, and before that RolledBack. Within an
+/// order the earliest deadline and the first established version by name count.
 MergeResult
 Merge(RolloutTable& aTable, const Rollout& aEntry, Instant aNow);
 
--- a/modules/rollout/src/Comparison.cpp
+++ b/modules/rollout/src/Comparison.cpp
@@ -1,6 +1,6 @@
 #include "Comparison.h"
 
-#include "SequentialTest.h"
+#include "SequentialStatistic.h"
 
 #include <algorithm>
 #include <functional>
--- a/modules/rollout/src/Exposure.cpp
+++ b/modules/rollout/src/Exposure.cpp
@@ -1,11 +1,13 @@
 #include "Exposure.h"
 
-#include <cmath>
-
 namespace sequoiastep::rollout {
 
 namespace {
 
+// With this probability a usual route leaves a free trial to a route that is tried less than the
+// others. Only while less than one more trial is free, so that the share is used.
+constexpr double kYield = 0.7;
+
 ServiceExposure&
 CountsOf(Exposure& aExposure, const Rollout& aRollout, Random& aRandom)
 {
@@ -19,30 +21,40 @@
   return counts;
 }
 
+// Several routes: those with more than their part of the trials give way. The probability also
+// breaks the rhythm of routes whose requests take turns.
+bool
+Yields(const ServiceExposure& aCounts, std::uint64_t aOfRoute, Random& aRandom)
+{
+  const std::size_t routes = aCounts.m_trialByRoute.size();
+  return aOfRoute * routes > aCounts.m_trialAttempts && routes > 1 && aRandom.Unit() < kYield;
+}
+
 } // namespace
 
 bool
 ShouldTry(Exposure& aExposure,
           const Rollout& aRollout,
           std::string_view aRoute,
-          Instant /*aNow*/,
+          Instant aNow,
           Random& aRandom)
 {
   ServiceExposure& counts = CountsOf(aExposure, aRollout, aRandom);
   ++counts.m_requests;
-  if (aRollout.m_phase != wire::RolloutPhase::Trial) {
+  if (aRollout.m_phase != wire::RolloutPhase::Trial || aNow >= aRollout.m_deadline) {
     return false;
   }
-  const double allowed =
-    std::floor(aExposure.m_share * static_cast<double>(counts.m_requests) + counts.m_rounding);
-  if (static_cast<double>(counts.m_trialAttempts) >= allowed) {
-    return false;
-  }
-  ++counts.m_trialAttempts;
   auto route = counts.m_trialByRoute.find(aRoute);
   if (route == counts.m_trialByRoute.end()) {
     route = counts.m_trialByRoute.emplace(aRoute, 0).first;
   }
+  const double free = aExposure.m_share * static_cast<double>(counts.m_requests) -
+                      static_cast<double>(counts.m_trialAttempts) - counts.m_rounding;
+  if (free < 0 || (free < 1 && Yields(counts, route->second, aRandom))) {
+    return false;
+  }
+  counts.m_rounding = aRandom.Unit();
+  ++counts.m_trialAttempts;
   ++route->second;
   return true;
 }
--- a/modules/rollout/src/Judge.cpp
+++ b/modules/rollout/src/Judge.cpp
@@ -283,8 +283,11 @@
     aJudge = { .m_order = aRollout.m_order };
   }
   const OrderId order{ .m_era = aEvidence.order_era, .m_offset = aEvidence.order_offset };
+  if (order != aRollout.m_order) {
+    return;
+  }
   TargetHistory& target = aJudge.m_targets[aEvidence.node];
-  if (order != aRollout.m_order || IsOutdated(target, aEvidence)) {
+  if (IsOutdated(target, aEvidence)) {
     return;
   }
   if (aRollout.m_phase == RolloutPhase::Shifting && !aJudge.m_shiftedAt) {
--- a/modules/rollout/src/RolloutTable.cpp
+++ b/modules/rollout/src/RolloutTable.cpp
@@ -3,6 +3,7 @@
 #include "Hash.h"
 #include "NameTable.h"
 
+#include <algorithm>
 #include <array>
 
 namespace sequoiastep::rollout {
@@ -42,6 +43,21 @@
   return aLeft.m_phase > aRight.m_phase;
 }
 
+// Merges what does not depend on the phase: the same result in any order of the entries.
+// @return true if the established version changed.
+bool
+MergeWithinOrder(Rollout& aHeld, const Rollout& aEntry)
+{
+  // Each copy on the way adds its delay.
+  aHeld.m_deadline = std::min(aHeld.m_deadline, aEntry.m_deadline);
+  const bool replaces = !aEntry.m_established.empty() &&
+                        (aHeld.m_established.empty() || aEntry.m_established < aHeld.m_established);
+  if (replaces) {
+    aHeld.m_established = aEntry.m_established;
+  }
+  return replaces;
+}
+
 } // namespace
 
 std::string_view
@@ -66,17 +82,21 @@
     return MergeResult::Changed;
   }
   Rollout& held = known->second;
-  if (Overrides(aEntry, held)) {
-    const bool sameOrder = held.m_order == aEntry.m_order;
-    Rollout merged = aEntry;
-    merged.m_learnedAt = sameOrder ? held.m_learnedAt : aNow;
-    if (sameOrder) {
-      merged.m_deadline = held.m_deadline; // Each copy on the way adds its delay.
+  if (held.m_order != aEntry.m_order) {
+    if (held.m_order > aEntry.m_order) {
+      return MergeResult::Older;
     }
-    if (merged.m_established.empty()) {
-      merged.m_established = held.m_established;
-    }
-    held = std::move(merged);
+    held = aEntry;
+    held.m_learnedAt = aNow;
+    return MergeResult::Changed;
+  }
+  const bool newlyEstablished = MergeWithinOrder(held, aEntry);
+  if (Overrides(aEntry, held)) {
+    held.m_phase = aEntry.m_phase;
+    held.m_finalOffset = aEntry.m_finalOffset;
+    return MergeResult::Changed;
+  }
+  if (newlyEstablished) {
     return MergeResult::Changed;
   }
   return Overrides(held, aEntry) ? MergeResult::Older : MergeResult::Known;
@@ -98,8 +118,8 @@
                                               rollout.m_order.m_offset,
                                               static_cast<std::uint64_t>(rollout.m_phase),
                                               rollout.m_finalOffset.value_or(UINT64_MAX) };
-    digest ^=
-      Hash64({ reinterpret_cast<const char*>(state.data()), sizeof state }, Hash64(service));
+    digest ^= Hash64({ reinterpret_cast<const char*>(state.data()), sizeof state },
+                     Hash64(service, Hash64(rollout.m_established)));
   }
   return digest;
 }
--- a/modules/rollout/src/SequentialTest.cpp
+++ b/modules/rollout/src/SequentialStatistic.cpp
@@ -1,4 +1,4 @@
-#include "SequentialTest.h"
+#include "SequentialStatistic.h"
 
 #include <algorithm>
 #include <cmath>
