--- a/modules/rollout/include/Evidence.h
+++ b/modules/rollout/include/Evidence.h
@@ -21,8 +21,9 @@
 constexpr Milliseconds kEvidenceIntervalMs = 500;
 /// Shortest interval, for counts with new errors.
 constexpr Milliseconds kUrgentEvidenceIntervalMs = 100;
-/// Interval for targets of the version on trial. They are few, and a verdict waits for them.
-constexpr Milliseconds kTrialEvidenceIntervalMs = 200;
+/// Interval for the counts that a verdict waits for: of targets of the new version, and of all
+/// targets while requests shift to it.
+constexpr Milliseconds kAwaitedEvidenceIntervalMs = 200;
 
 /// Number of run time buckets. The last one has no upper bound; the one before ends at 33 s.
 constexpr std::size_t kRunBuckets = 32;
@@ -60,7 +61,8 @@
 };
 
 /// Counts one answer of the target. Starts anew if the order or the version changed.
-/// @param aFailed the target answered with a server error that no failed call of its own explains.
+/// @param aFailed the target answered with a server error that no failed call of its own explains,
+/// closed the connection, or had not answered when the request's time was up.
 /// @param aRunMs time that the request spent at the target, in milliseconds.
 void
 RecordAnswer(TargetEvidence& aEvidence,
--- a/modules/rollout/include/Judge.h
+++ b/modules/rollout/include/Judge.h
@@ -34,6 +34,9 @@
   /// A good verdict that lacked samples may still come until then, at the cost of the time that old
   /// targets have to finish.
   Instant m_lastVerdict;
+  /// The rollout is not completed earlier, since a version that turns bad under all requests can
+  /// still be rolled back.
+  Instant m_completeFrom;
   /// The final state is written by then at the latest.
   Instant m_writeBy;
 };
--- a/modules/rollout/src/Comparison.cpp
+++ b/modules/rollout/src/Comparison.cpp
@@ -20,11 +20,11 @@
 
 // An answer is slow if it takes longer than all but this share of the old version's answers, times
 // a factor that a good version may be slower by.
-constexpr double kSlowFloor = 0.05;
+constexpr double kSlowFloor = 0.02;
 constexpr Effects kSlowEffects{ 0.10, 0.25, 0.40 };
-// The factors, in buckets: 2, and 2.8 for a target that has just started.
-constexpr std::size_t kWarmAllowance = kBucketsPerDoubling;
-constexpr std::size_t kColdAllowance = kBucketsPerDoubling + 1;
+// The factors, in buckets: 1.4, and 2 for a target that has just started.
+constexpr std::size_t kWarmAllowance = 1;
+constexpr std::size_t kColdAllowance = kBucketsPerDoubling;
 // Old answers of a route from which its usual run time is known.
 constexpr double kMinUsual = 40;
 
@@ -32,6 +32,8 @@
 // at the same rate, had fewer than the given part of them.
 constexpr double kMinExpectedElsewhere = 3;
 constexpr double kHostPart = 0.2;
+// While the others had too few requests to tell, a sign needs twice the strength.
+constexpr double kUnclearWeight = 0.5;
 
 constexpr std::string_view kAllRoutes = "*";
 
@@ -193,9 +195,19 @@
   return { .m_trial = trial, .m_old = old, .m_target = target };
 }
 
-// True if only one of several targets of the new version shows what aRoute is suspected for.
-bool
-IsOneHost(const Judge& aJudge, const Rollout& aRollout, const Kind& aKind, std::string_view aRoute)
+/// Whether several targets of the new version show the same.
+enum class Backing
+{
+  /// Others show it as well, or there is no other.
+  Several,
+  /// The others had too few requests to tell.
+  Unclear,
+  /// The others don't show it: its host may be what is bad.
+  OneHost,
+};
+
+Backing
+BackingOf(const Judge& aJudge, const Rollout& aRollout, const Kind& aKind, std::string_view aRoute)
 {
   Series targets;
   for (const auto& [node, target] : aJudge.m_targets) {
@@ -217,12 +229,16 @@
     targets.begin(), targets.end(), [](const BinCount& aLeft, const BinCount& aRight) {
       return aLeft.m_bad < aRight.m_bad;
     });
-  if (worst == targets.end() || worst->m_answers == 0) {
-    return false;
+  if (targets.size() < 2 || worst->m_answers == 0) {
+    return Backing::Several;
   }
   const BinCount all = Total(targets);
+  const double others = all.m_bad - worst->m_bad;
   const double expected = (all.m_answers - worst->m_answers) * worst->m_bad / worst->m_answers;
-  return expected >= kMinExpectedElsewhere && all.m_bad - worst->m_bad < kHostPart * expected;
+  if (others >= 1 && others >= kHostPart * expected) {
+    return Backing::Several;
+  }
+  return expected >= kMinExpectedElsewhere ? Backing::OneHost : Backing::Unclear;
 }
 
 struct RouteSeries
@@ -271,10 +287,16 @@
     addTo(trialOfAll, series.m_trial);
     addTo(oldOfAll, series.m_old);
   }
-  const auto consider = [&](const Suspicion& aFound) {
-    if (aFound.m_strength > aStrongest.m_strength &&
-        !IsOneHost(aJudge, aRollout, aKind, aFound.m_route)) {
-      aStrongest = aFound;
+  const auto consider = [&](Suspicion aFound) {
+    if (aFound.m_strength <= aStrongest.m_strength) {
+      return;
+    }
+    const Backing backing = BackingOf(aJudge, aRollout, aKind, aFound.m_route);
+    aFound.m_strength *= backing == Backing::Several   ? 1
+                         : backing == Backing::Unclear ? kUnclearWeight
+                                                       : 0;
+    if (aFound.m_strength > aStrongest.m_strength) {
+      aStrongest = std::move(aFound);
     }
   };
   LogRatios ratiosOfAll(aSpan.m_settled);
--- a/modules/rollout/src/Comparison.h
+++ b/modules/rollout/src/Comparison.h
@@ -25,8 +25,8 @@
   double m_oldAnswers = 0;
 };
 
-/// Looks for the strongest sign. Signs that only one of several targets shows are left out, since
-/// its host may be what is bad.
+/// Looks for the strongest sign. Signs that only one of several targets shows don't count,
+/// since its host may be what is bad.
 Suspicion
 Compare(const Judge& aJudge, const Rollout& aRollout, Instant aNow);
 
--- a/modules/rollout/src/Evidence.cpp
+++ b/modules/rollout/src/Evidence.cpp
@@ -44,7 +44,9 @@
   if (fresh > 0 && fresh * kUrgentErrorPart >= aErrors) {
     return kUrgentEvidenceIntervalMs;
   }
-  return aEvidence.m_version == aRollout.m_version ? kTrialEvidenceIntervalMs : kEvidenceIntervalMs;
+  const bool awaited =
+    aEvidence.m_version == aRollout.m_version || aRollout.m_phase == RolloutPhase::Shifting;
+  return awaited ? kAwaitedEvidenceIntervalMs : kEvidenceIntervalMs;
 }
 
 wire::RouteEvidenceT
--- a/modules/rollout/src/Judge.cpp
+++ b/modules/rollout/src/Judge.cpp
@@ -204,8 +204,14 @@
 }
 
 Judgement
-JudgeShift(const Judge& aJudge, const std::vector<std::string>& aOldTargets, Instant aNow)
+JudgeShift(const Judge& aJudge,
+           const RolloutPlan& aPlan,
+           const std::vector<std::string>& aOldTargets,
+           Instant aNow)
 {
+  if (aNow < aPlan.m_completeFrom) {
+    return { .m_verdict = Verdict::Continue, .m_reason = "waits=watch" };
+  }
   if (!aJudge.m_shiftedAt || aNow - *aJudge.m_shiftedAt < kPhaseSpreadMs) {
     return { .m_verdict = Verdict::Continue, .m_reason = "waits=phase" };
   }
@@ -269,6 +275,7 @@
   plan.m_writeBy = aRollout.m_deadline + -kWriteMs;
   plan.m_verdictBy = plan.m_writeBy + -finish;
   plan.m_verdictFrom = plan.m_verdictBy + -(aRollout.m_durationMs / kVerdictPart);
+  plan.m_completeFrom = plan.m_writeBy + -(aRollout.m_durationMs / kVerdictPart);
   plan.m_lastVerdict = plan.m_verdictBy + finish / 4;
   return plan;
 }
@@ -324,7 +331,7 @@
     return { .m_verdict = Verdict::RollBack, .m_reason = Describe(suspicion) };
   }
   if (aRollout.m_phase == RolloutPhase::Shifting) {
-    return JudgeShift(aJudge, aOldTargets, aNow);
+    return JudgeShift(aJudge, aPlan, aOldTargets, aNow);
   }
   return JudgeTrial(aJudge, aRollout, aPlan, aOldTargets, suspicion, aNow);
 }
--- a/modules/rollout/src/SequentialStatistic.cpp
+++ b/modules/rollout/src/SequentialStatistic.cpp
@@ -19,8 +19,12 @@
 constexpr double kMinSpanAnswers = 5;
 // Share that is assumed where the old version had no requests lately, in which case trouble that
 // would have hit it as well can't be told from a bad version.
-constexpr double kUncomparedRate = 0.10;
+constexpr double kUncomparedRate = 0.03;
 constexpr double kMaxRate = 0.95;
+// Standard deviations by which a span has to be above the usual share to count as trouble. Taking
+// the highest of all spans doubled the time to find a slow version, as the highest is mostly
+// chance.
+constexpr double kDeviations = 2;
 // Keeps the statistic finite.
 constexpr double kMaxStatistic = 1e30;
 
@@ -36,31 +40,43 @@
   return sum;
 }
 
+// @return the share of bad answers, drawn towards aPrior if there are few.
+double
+Shrunk(const BinCount& aCount, double aPrior)
+{
+  return (aCount.m_bad + aPrior * kPriorAnswers) / (aCount.m_answers + kPriorAnswers);
+}
+
+// True if the share of bad answers is above aUsual by more than chance explains.
+bool
+IsAbove(const BinCount& aCount, double aUsual)
+{
+  const double expected = aCount.m_answers * aUsual;
+  return aCount.m_bad - expected > kDeviations * std::sqrt(expected * (1 - aUsual)) + 0.5;
+}
+
 } // namespace
 
 std::vector<double>
 NullRates(const Series& aOld, const Series& aOldOfAll, double aFloor)
 {
+  const auto bins = static_cast<std::int64_t>(aOldOfAll.size());
+  const double usualOfAll = Shrunk(Sum(aOldOfAll, 0, bins), aFloor);
+  const double usual = std::max(aFloor, Shrunk(Sum(aOld, 0, bins), usualOfAll));
   std::vector<double> rates(aOldOfAll.size());
-  double latest = aFloor;
-  for (std::int64_t bin = 0; bin < static_cast<std::int64_t>(rates.size()); ++bin) {
-    double highest = 0;
+  for (std::int64_t bin = 0; bin < bins; ++bin) {
+    double highest = usual;
+    bool compared = false;
     for (std::int64_t begin = bin - kSpansBefore; begin <= bin + kSpansAfter; ++begin) {
       const BinCount all = Sum(aOldOfAll, begin, begin + kSpanBins);
-      if (all.m_answers < kMinSpanAnswers) {
-        continue;
-      }
-      const double ofAll = (all.m_bad + aFloor * kPriorAnswers) / (all.m_answers + kPriorAnswers);
+      compared = compared || all.m_answers >= kMinSpanAnswers;
+      const double ofAll = IsAbove(all, usualOfAll) ? Shrunk(all, aFloor) : usualOfAll;
       const BinCount own = Sum(aOld, begin, begin + kSpanBins);
-      const double ofRoute = (own.m_bad + ofAll * kPriorAnswers) / (own.m_answers + kPriorAnswers);
-      highest = std::max(highest, ofRoute);
-    }
-    if (highest > 0) {
-      latest = std::clamp(highest, aFloor, kMaxRate);
-      rates[bin] = latest;
-    } else {
-      rates[bin] = std::max(latest, kUncomparedRate);
+      if (ofAll > usualOfAll || IsAbove(own, usual)) {
+        highest = std::max(highest, Shrunk(own, ofAll));
+      }
     }
+    rates[bin] = std::min(compared ? highest : std::max(highest, kUncomparedRate), kMaxRate);
   }
   return rates;
 }
--- a/modules/rollout/src/SequentialStatistic.h
+++ b/modules/rollout/src/SequentialStatistic.h
@@ -29,8 +29,8 @@
 using LogRatios = std::vector<std::array<double, kEffects>>;
 
 /// Estimates from the old version how often answers of a good version are bad in each bin: the
-/// highest share in any of the spans around the bin, since the counts of one span arrive up to a
-/// second apart.
+/// share over all bins, or, if spans around the bin have significantly more, the highest of theirs.
+/// The spans reach beyond the bin, since the counts of one span arrive up to a second apart.
 /// @param aOld the old version's counts of the route.
 /// @param aOldOfAll the old version's counts of all routes, which a route with few requests is
 /// judged by.
--- a/modules/rollout/tests/EvidenceTest.cpp
+++ b/modules/rollout/tests/EvidenceTest.cpp
@@ -79,8 +79,8 @@
   CHECK(TakeDueEvidence(old, Order(7), "v1", 0, kNow + kEvidenceIntervalMs));
   TargetEvidence trial;
   CHECK(TakeDueEvidence(trial, Order(7), "v2", 0, kNow));
-  CHECK(!TakeDueEvidence(trial, Order(7), "v2", 0, kNow + (kTrialEvidenceIntervalMs - 1)));
-  CHECK(TakeDueEvidence(trial, Order(7), "v2", 0, kNow + kTrialEvidenceIntervalMs));
+  CHECK(!TakeDueEvidence(trial, Order(7), "v2", 0, kNow + (kAwaitedEvidenceIntervalMs - 1)));
+  CHECK(TakeDueEvidence(trial, Order(7), "v2", 0, kNow + kAwaitedEvidenceIntervalMs));
 
   Instant now = kNow + 10'000;
   TakeDueEvidence(old, Order(7), "v1", 0, now);
