--- a/modules/rollout/include/Exposure.h
+++ b/modules/rollout/include/Exposure.h
@@ -15,6 +15,16 @@
 
 namespace sequoiastep::rollout {
 
+/// Part of the allowed share that a trial uses, so that retries and rounding stay within it.
+constexpr double kUsedShare = 0.8;
+/// Trials are sent in bursts: nothing for the first two thirds of each cycle since the order, and
+/// this many times the share in the last third. The targets on trial are then as busy as the old
+/// ones also where the share is less than one target's part of the requests, and a version that is
+/// bad only under load shows it. The cycles begin with the order, at about the same time on all
+/// nodes.
+constexpr double kBurstFactor = 3;
+constexpr Milliseconds kBurstCycleMs = 3000;
+
 /// One node's requests for a service since it learnt of the order.
 struct ServiceExposure
 {
@@ -24,6 +34,11 @@
   std::uint64_t m_trialAttempts = 0;
   /// Attempts on trial by route, so that each route is covered.
   std::map<std::string, std::uint64_t, std::less<>> m_trialByRoute;
+  /// Part of a trial, drawn anew for each, by which the next one waits until the share allows it.
+  /// The attempts of all nodes together then have the share as their expected value from the first
+  /// request on, though each node sends only few requests; one node never exceeds its share by more
+  /// than one attempt.
+  double m_rounding = 0;
 };
 
 /// State of one node, by service.
