Wire rollouts into the control plane and the call path

Cause: modules/rollout decides, but nothing read orders, spread them, acted on them or wrote states. Change: readers of the operator's topic pass on orders; the controllers replicate the table (flood, digest, links that open); the routing view splits targets by version; a node's share of first attempts goes to the new version; the node beside a target counts its answers and sends them to the service's two judges over the call links; verdicts go to all nodes and the judges write the state by appends that are conditional on the end of the topic. All of it only if the settings have rollouts.

--- a/modules/distribution/include/Controller.h
+++ b/modules/distribution/include/Controller.h
@@ -13,6 +13,7 @@
 #include "Random.h"
 #include "RecordStore.h"
 #include "Replay.h"
+#include "RolloutTable.h"
 #include "Summaries.h"
 #include "Topology.h"
 
@@ -72,6 +73,8 @@
   Milliseconds m_directoryEveryMs = 43'200'000;
   /// How long a Gone member is kept, so that it can be dialled again after a network partition.
   Milliseconds m_goneRetentionMs = 7'200'000;
+  /// Replicate the table of rollouts. Without it, messages about rollouts are ignored.
+  bool m_rollouts = false;
   /// Gap between ticks above which the process counts as paused.
   Milliseconds m_pauseThresholdMs = 1500;
 };
@@ -103,6 +106,9 @@
   Instant m_digestsSentAt;
   /// Consecutive heartbeats whose member digest differed from this node's.
   std::uint32_t m_digestMismatches = 0;
+  /// The same for the digest of the table of rollouts.
+  std::uint32_t m_rolloutMismatches = 0;
+  Instant m_rolloutsSentAt;
   /// Since when the link has not been one of the desired links.
   std::optional<Instant> m_unwantedSince;
   /// True if the peer is in another region.
@@ -172,6 +178,9 @@
   std::uint64_t m_accusations = 0;
   std::uint64_t m_refutations = 0;
   std::uint64_t m_pauses = 0;
+  /// Orders for rollouts that were new when this node read them, and digest exchanges of the table.
+  std::uint64_t m_rolloutOrders = 0;
+  std::uint64_t m_rolloutExchanges = 0;
   /// Reads that found the log to end before this node's position: the log lost records.
   std::uint64_t m_logTruncations = 0;
 };
@@ -257,6 +266,10 @@
   Instant m_nextGoneProbe;
   Instant m_nextGoneCheck;
 
+  /// Rollouts of all services, and those that changed in the current step.
+  rollout::RolloutTable m_rollouts;
+  std::set<std::string, std::less<>> m_changedRollouts;
+
   std::vector<PendingPublish> m_pendingPublishes;
   std::vector<PendingDeparture> m_pendingDepartures;
   /// Changed members, by node, and new accusations, which FlushMembers sends to the peers.
--- a/modules/distribution/include/Events.h
+++ b/modules/distribution/include/Events.h
@@ -6,6 +6,7 @@
 #include "Members.h"
 #include "Messages_generated.h"
 #include "Replay.h"
+#include "RolloutTable.h"
 
 #include <cstdint>
 #include <memory>
@@ -158,6 +159,34 @@
   std::string m_from;
 };
 
+/// This node read an order for a rollout from the store.
+struct RolloutOrdered
+{
+  std::string m_service;
+  std::string m_version;
+  Milliseconds m_durationMs = 0;
+  rollout::OrderId m_order;
+  /// True if the order was written just now; else its age is not known.
+  bool m_fresh = false;
+  /// Version of the service's other targets; empty if it is not known.
+  std::string m_established;
+  /// Completed or RolledBack, with the offset of its record, if the store holds the final state.
+  rollout::RolloutPhase m_phase = rollout::RolloutPhase::Trial;
+  std::optional<std::uint64_t> m_finalOffset;
+};
+
+/// This node judged a rollout, or found or wrote its final state in the store.
+struct RolloutDecided
+{
+  std::string m_service;
+  rollout::OrderId m_order;
+  rollout::RolloutPhase m_phase = rollout::RolloutPhase::Trial;
+  /// Offset of the record with the final state; none if the store is not known to hold it.
+  std::optional<std::uint64_t> m_finalOffset;
+  /// What the decision rests on, for the log.
+  std::string m_reason;
+};
+
 /// The platform's store answered a read by this node.
 struct StoreAnswered
 {
@@ -198,6 +227,8 @@
                            TargetChanged,
                            DepartureRecorded,
                            OperatorRecordApplied,
+                           RolloutOrdered,
+                           RolloutDecided,
                            StoreAnswered,
                            VersionWanted,
                            DrainRequested,
@@ -285,6 +316,10 @@
 struct MembersChanged
 {};
 
+/// The table of rollouts changed; the node must rebuild the view that calls are routed by.
+struct RolloutsChanged
+{};
+
 /// The node became ready for calls, or stopped being ready.
 struct ReadinessChanged
 {
@@ -322,6 +357,7 @@
                             AnswerPublish,
                             InstallSnapshot,
                             MembersChanged,
+                            RolloutsChanged,
                             ReadinessChanged,
                             DepartureKept,
                             OwnEntryRecalled>;
--- a/modules/distribution/src/Controller.cpp
+++ b/modules/distribution/src/Controller.cpp
@@ -39,6 +39,8 @@
       return HandleMemberDigests(aContext, aNode, *body.AsMemberDigests());
     case wire::Body::Accusation:
       return HandleAccusation(aContext, *body.AsAccusation());
+    case wire::Body::RolloutUpdate:
+      return HandleRolloutUpdate(aContext, aNode, *body.AsRolloutUpdate());
     case wire::Body::Join:
       return HandleJoin(aContext, aNode, *body.AsJoin());
     case wire::Body::JoinBusy:
@@ -136,6 +138,8 @@
   {
     HandleOperatorRecordApplied(m_context, aEvent);
   }
+  void operator()(const RolloutOrdered& aEvent) { HandleRolloutOrdered(m_context, aEvent); }
+  void operator()(const RolloutDecided& aEvent) { HandleRolloutDecided(m_context, aEvent); }
   void operator()(const StoreAnswered& aEvent) { HandleStoreAnswered(m_context, aEvent); }
   void operator()(const VersionWanted& aEvent) { HandleVersionWanted(m_context, aEvent); }
   void operator()(const DrainRequested&) { HandleDrainRequested(m_context); }
@@ -193,6 +197,7 @@
   Actions actions;
   StepContext context{ .m_controller = aController, .m_now = aNow, .m_actions = actions };
   std::visit(Dispatch{ context }, aEvent);
+  FlushRollouts(context);
   UpdateReadiness(context);
   if (aController.m_membersChanged) {
     aController.m_membersChanged = false;
--- a/modules/distribution/src/ControllerHeartbeat.cpp
+++ b/modules/distribution/src/ControllerHeartbeat.cpp
@@ -217,6 +217,7 @@
   link.m_peerOperatorVersion = std::max(link.m_peerOperatorVersion, aHeartbeat.operator_version);
   PullOperatorIfBehind(aContext, aNode, link);
   LearnStoreEra(aContext, aHeartbeat.store_era);
+  CompareRolloutDigest(aContext, aNode, aHeartbeat.rollout_digest);
 }
 
 void
@@ -231,6 +232,7 @@
   heartbeat.echo = aEcho;
   heartbeat.operator_version = HeldOperatorVersion(controller);
   heartbeat.store_era = controller.m_storeEra;
+  heartbeat.rollout_digest = rollout::Digest(controller.m_rollouts);
   AddSummaries(aContext, aNode, aLink, heartbeat);
   aLink.m_heartbeatDue = false;
   aLink.m_heartbeatSentAt = aContext.m_now;
--- a/modules/distribution/src/ControllerLinks.cpp
+++ b/modules/distribution/src/ControllerLinks.cpp
@@ -248,6 +248,7 @@
       std::make_unique<wire::MemberEntryT>(membership::ToWire(Self(controller))));
     SendTo(aContext, aOpened.m_node, MakeSharedMessage(std::move(update)));
   }
+  SendAllRollouts(aContext, aOpened.m_node);
   RequestDepartureEchoes(aContext, aOpened.m_node);
 }
 
--- a/modules/distribution/src/ControllerPriv.h
+++ b/modules/distribution/src/ControllerPriv.h
@@ -182,6 +182,25 @@
 void
 SendAllMembers(StepContext& aContext, std::string_view aNode);
 
+// ControllerRollouts.cpp
+void
+HandleRolloutOrdered(StepContext& aContext, const RolloutOrdered& aOrdered);
+void
+HandleRolloutDecided(StepContext& aContext, const RolloutDecided& aDecided);
+void
+HandleRolloutUpdate(StepContext& aContext,
+                    std::string_view aNode,
+                    const wire::RolloutUpdateT& aUpdate);
+/// Sends the whole table to a peer whose link was opened, unless the table is empty.
+void
+SendAllRollouts(StepContext& aContext, std::string_view aNode);
+/// Exchanges tables with a peer whose digest differed twice in a row.
+void
+CompareRolloutDigest(StepContext& aContext, std::string_view aNode, std::uint64_t aDigest);
+/// Sends the entries that changed in this step to the peers.
+void
+FlushRollouts(StepContext& aContext);
+
 // ControllerLinks.cpp
 void
 HandleLinkOpened(StepContext& aContext, const LinkOpened& aOpened);
--- a/modules/node/src/CallJob.h
+++ b/modules/node/src/CallJob.h
@@ -8,6 +8,7 @@
 #include "Picker.h"
 #include "Placement.h"
 #include "Retry.h"
+#include "RolloutTable.h"
 
 #include <cstdint>
 #include <functional>
@@ -29,6 +30,10 @@
   Instant m_deadline;
   /// Latency objective of the route: an answer after this instant is late.
   Instant m_objective;
+  /// The caller named the trace.
+  bool m_tracedByCaller = false;
+  /// The request may come from the target beside this node, as far as its route tells.
+  bool m_mayBeNested = true;
   /// Estimated size of request and answer.
   double m_estimatedKilobytes = 1;
 };
@@ -43,6 +48,8 @@
   /// Decision after the latest attempt.
   routing::RetryDecision m_retryDecision = routing::RetryDecision::TryFree;
   routing::RetryContext m_retryContext;
+  /// The rollout by which the first attempt goes to a target on trial; none if it does not.
+  std::optional<rollout::Rollout> m_trial;
   /// Answer to return unless a further attempt replaces it.
   wire::AnswerT m_answer;
 };
--- a/modules/node/src/CallLinks.cpp
+++ b/modules/node/src/CallLinks.cpp
@@ -246,6 +246,25 @@
   co_return std::move(pending.m_reply);
 }
 
+Awaitable<void>
+CallLinks::Notify(std::string aNode, std::string aAddress, wire::EnvelopeT aMessage)
+{
+  const LinkPtr link = co_await OpenLink(aNode, aAddress, kMaxConnectWaitMs);
+  if (!link) {
+    co_return;
+  }
+  RecordReceivedBytes(*link, Clock::Now());
+  // A link that is dead is found and dropped also if it carries no call.
+  if (routing::NeedsProbe(link->m_liveness, Clock::Now())) {
+    SendProbe(*link);
+  }
+  if (!m_livenessLoopRuns) {
+    m_livenessLoopRuns = true;
+    asio::co_spawn(m_context, LivenessLoop(), asio::detached);
+  }
+  link->m_connection->Send(wire::EncodeFrame(aMessage));
+}
+
 // Sends the bytes of a call's body that the peer granted.
 void
 CallLinks::SendBody(Link& aLink, const wire::BodyGrantT& aGrant)
@@ -403,14 +422,19 @@
     if (link->m_connecting || !link->m_pending.empty()) {
       return false;
     }
-    for (const auto& [service, candidates] : aView.m_services) {
-      for (const routing::Candidate& candidate : candidates) {
-        if (candidate.m_node == node) {
-          return false;
-        }
-      }
-    }
-    return true;
+    const auto isNode = [&](const routing::Candidate& aCandidate) {
+      return aCandidate.m_node == node;
+    };
+    const bool isRegular =
+      std::any_of(aView.m_services.begin(), aView.m_services.end(), [&](const auto& aService) {
+        return std::any_of(aService.second.begin(), aService.second.end(), isNode);
+      });
+    const bool isOnTrial =
+      std::any_of(aView.m_rollouts.begin(), aView.m_rollouts.end(), [&](const auto& aService) {
+        const auto& trial = aService.second.m_trial;
+        return std::any_of(trial.begin(), trial.end(), isNode);
+      });
+    return !isRegular && !isOnTrial;
   });
 }
 
--- a/modules/node/src/CallLinks.h
+++ b/modules/node/src/CallLinks.h
@@ -53,6 +53,8 @@
                                  std::string aAddress,
                                  wire::CallT aCall,
                                  std::int64_t aTimeoutMs);
+  /// Sends a message that has no reply. It is dropped if no link can be opened in time.
+  net::Awaitable<void> Notify(std::string aNode, std::string aAddress, wire::EnvelopeT aMessage);
   /// This node stops: asks the nodes that calls were sent to for an answer by aAt, and limits later
   /// calls to that time.
   void ShortenCalls(Instant aAt);
--- a/modules/node/src/CallProxy.cpp
+++ b/modules/node/src/CallProxy.cpp
@@ -95,6 +95,9 @@
       [this](HttpRequest aRequest) { return m_targetApi.Handle(std::move(aRequest)); },
       MakeBadRequest)
 {
+  if (m_settings.m_rollouts) {
+    MakeRolloutCalls();
+  }
   m_callerServer.SetOverlapFilter(
     [this](const HttpRequest& aRequest) { return MayOverlap(aRequest); });
 }
@@ -167,6 +170,9 @@
     if (routing::NeedsAnnouncement(m_announcedNotice, m_runner.Notice(), Clock::Now())) {
       AnnounceTarget();
     }
+    if (m_rolloutCalls) {
+      m_rolloutCalls->Tick(m_runner.Target(), m_runner.Outstanding());
+    }
     const auto view = m_shared.m_view.load();
     if (Clock::Now() >= nextCloseIdle && view) {
       m_links.CloseIdle(*view);
--- a/modules/node/src/CallProxy.h
+++ b/modules/node/src/CallProxy.h
@@ -15,6 +15,7 @@
 #include "Picker.h"
 #include "Random.h"
 #include "Retry.h"
+#include "RolloutCalls.h"
 #include "RouteAverages.h"
 #include "Settings.h"
 #include "SharedState.h"
@@ -31,6 +32,7 @@
 #include <set>
 #include <string>
 #include <string_view>
+#include <vector>
 
 namespace sequoiastep::node {
 
@@ -134,6 +136,15 @@
                                                     const routing::Candidate& aTarget,
                                                     wire::AnswerT& aAnswer);
   std::optional<routing::Candidate> NextTarget(CallJob& aJob, CallAttempts& aAttempts);
+  std::optional<routing::Candidate> PlaceAmong(const std::vector<routing::Candidate>& aCandidates,
+                                               CallJob& aJob,
+                                               CallAttempts& aAttempts);
+  void MakeRolloutCalls();
+  void BeginTrial(const CallJob& aJob, CallAttempts& aAttempts);
+  std::optional<routing::Candidate> PlaceTrial(const RoutingView& aView,
+                                               CallJob& aJob,
+                                               CallAttempts& aAttempts);
+  void EndTrial(const CallJob& aJob, CallAttempts& aAttempts, bool aArrived);
   void HandleAttemptResult(const CallJob& aJob, CallAttempts& aAttempts, wire::AnswerT aAnswer);
   void RecordCallEnd(const CallJob& aJob, const CallAttempts& aAttempts, std::int64_t aElapsedUs);
   void LogTargetTrusted(const std::string& aNode) const;
@@ -176,6 +187,8 @@
   BodyReceiver m_bodies;
   TargetApi m_targetApi;
   CallLinks m_links;
+  /// Null unless the settings have rollouts.
+  std::unique_ptr<RolloutCalls> m_rolloutCalls;
   KeyedCalls m_keyedCalls;
   CallerKeys m_callerKeys;
   net::HttpServer m_callerServer;
--- a/modules/node/src/CallProxyMetrics.cpp
+++ b/modules/node/src/CallProxyMetrics.cpp
@@ -40,6 +40,9 @@
   text += fmt::format("sequoiastep_log_lines_suppressed_total {}\n", lines.m_suppressed);
   text += fmt::format("sequoiastep_log_lines_dropped_total {}\n", lines.m_dropped);
   m_metrics.AppendText(text);
+  if (m_rolloutCalls) {
+    m_rolloutCalls->AppendMetrics(text);
+  }
   return text;
 }
 
--- a/modules/node/src/CallProxyRoute.cpp
+++ b/modules/node/src/CallProxyRoute.cpp
@@ -136,9 +136,13 @@
   const std::size_t index = routing::NextCluster(m_weightTurns, aRoute, m_random);
   const config::Cluster& cluster =
     aSnapshot.m_effective->m_clusters.find(aRoute.m_clusters[index].m_cluster)->second;
-  const TraceContext trace = ParseTraceparent(aRequest["traceparent"])
-                               .value_or(StartTrace(m_random, m_settings.m_traceSample));
+  const auto callerTrace = ParseTraceparent(aRequest["traceparent"]);
+  const TraceContext trace =
+    callerTrace ? *callerTrace : StartTrace(m_random, m_settings.m_traceSample);
   CallJob job;
+  job.m_tracedByCaller = callerTrace.has_value();
+  // Targets have no key of a workspace.
+  job.m_mayBeNested = aRoute.m_public || aSnapshot.m_effective->m_workspaces.m_byName.empty();
   job.m_crossRegion = cluster.m_crossRegion;
   job.m_repeat = aRoute.m_repeat;
   job.m_largeAnswers = aRoute.m_largeAnswers;
@@ -416,35 +420,45 @@
 }
 
 // Picks the target of the next attempt, or nothing if none is left, and sets the call's maximum
-// wait for a slot there.
+// wait for a slot there. The first attempt of a trial goes to the new version if a target of it can
+// be picked.
 std::optional<routing::Candidate>
 CallProxy::NextTarget(CallJob& aJob, CallAttempts& aAttempts)
 {
   const auto view = m_shared.m_view.load();
+  std::optional<routing::Candidate> target = PlaceTrial(*view, aJob, aAttempts);
   const auto service = view->m_services.find(aJob.m_call.service);
-  const auto placed = service == view->m_services.end() ? std::nullopt
-                                                        : routing::Place(aAttempts.m_placement,
-                                                                         service->second,
-                                                                         m_pickState,
-                                                                         PickRequestFor(aJob),
-                                                                         Clock::Now(),
-                                                                         m_random);
-  if (!placed) {
+  if (!target && service != view->m_services.end()) {
+    target = PlaceAmong(service->second, aJob, aAttempts);
+  }
+  if (!target) {
     aAttempts.m_retryDecision = RetryDecision::StopNoTarget;
     return std::nullopt;
   }
-  const routing::Candidate& target = service->second[placed->m_index];
-  aJob.m_call.most_wait_ms = static_cast<std::uint32_t>(placed->m_maxWaitMs);
   if (aAttempts.m_retryContext.m_handovers > 0) {
     m_shared.m_calls.m_retries.fetch_add(1, std::memory_order_relaxed);
   }
-  aAttempts.m_lastNode = target.m_node;
+  aAttempts.m_lastNode = target->m_node;
   aAttempts.m_lastPlace =
-    routing::LocalityOf(target, m_identity.m_region, m_identity.m_failureDomain);
+    routing::LocalityOf(*target, m_identity.m_region, m_identity.m_failureDomain);
   ++aAttempts.m_retryContext.m_handovers;
   return target;
 }
 
+std::optional<routing::Candidate>
+CallProxy::PlaceAmong(const std::vector<routing::Candidate>& aCandidates,
+                      CallJob& aJob,
+                      CallAttempts& aAttempts)
+{
+  const auto placed = routing::Place(
+    aAttempts.m_placement, aCandidates, m_pickState, PickRequestFor(aJob), Clock::Now(), m_random);
+  if (!placed) {
+    return std::nullopt;
+  }
+  aJob.m_call.most_wait_ms = static_cast<std::uint32_t>(placed->m_maxWaitMs);
+  return aCandidates[placed->m_index];
+}
+
 // Records the result of an attempt and decides whether another one follows.
 void
 CallProxy::HandleAttemptResult(const CallJob& aJob, CallAttempts& aAttempts, AnswerT aAnswer)
@@ -485,6 +499,9 @@
   attempts.m_retryContext.m_repeat = aJob.m_repeat;
   attempts.m_retryContext.m_handovers = 0;
   attempts.m_retryContext.m_maxAttempts = aJob.m_maxAttempts;
+  if (m_rolloutCalls) {
+    BeginTrial(aJob, attempts);
+  }
   CallerLeftGuard leftGuard(aJob, attempts);
   while (!routing::IsStop(attempts.m_retryDecision)) {
     const auto target = NextTarget(aJob, attempts);
@@ -493,9 +510,15 @@
     }
     AnswerT answer;
     attempts.m_retryContext.m_outcome = co_await TryTarget(aJob, *target, answer);
+    if (attempts.m_trial) {
+      EndTrial(aJob, attempts, answer.arrived);
+    }
     HandleAttemptResult(aJob, attempts, std::move(answer));
   }
   leftGuard.Dismiss();
+  if (m_rolloutCalls) {
+    m_rolloutCalls->RecordCallEnd(aJob, attempts.m_answer);
+  }
   RecordCallEnd(aJob, attempts, span.ElapsedUs());
   span.End(NameOf(attempts.m_answer.outcome), attempts.m_lastNode);
   co_return Respond(aJob, attempts.m_answer);
--- a/modules/node/src/CallProxyServe.cpp
+++ b/modules/node/src/CallProxyServe.cpp
@@ -122,6 +122,10 @@
     m_bodies.AddChunk({ .m_link = aLink->m_number, .m_call = chunk.id }, chunk);
     return;
   }
+  if (aMessage.body.type == wire::Body::RolloutEvidence && m_rolloutCalls) {
+    m_rolloutCalls->Receive(aLink->m_node, std::move(*aMessage.body.AsRolloutEvidence()));
+    return;
+  }
   if (aMessage.body.type != wire::Body::Call) {
     return;
   }
--- a/modules/node/src/ControlPlane.cpp
+++ b/modules/node/src/ControlPlane.cpp
@@ -19,6 +19,8 @@
 namespace {
 
 constexpr std::size_t kMailboxCapacity = 4096;
+// Part of the share in the settings that is used, since requests end after they are counted.
+constexpr double kTrialShareUsed = 0.8;
 
 distribution::ControllerOptions
 MakeControllerOptions(const Settings& aSettings, std::uint64_t aIncarnation)
@@ -30,6 +32,7 @@
   options.m_failureDomain = aSettings.m_failureDomain;
   options.m_bootstrapPeers = aSettings.m_peerHints;
   options.m_followPublications = !aSettings.m_operatorRecord;
+  options.m_rollouts = aSettings.m_rollouts.has_value();
   options.m_seed = aIncarnation;
   options.m_topology.m_fanOut = aSettings.m_links.m_fanOut;
   options.m_topology.m_chords = aSettings.m_links.m_chords;
@@ -118,6 +121,7 @@
     case platform::AppendStatus::Appended:
       return distribution::AppendResult::Appended;
     case platform::AppendStatus::Refused:
+    case platform::AppendStatus::EndMoved:
       return distribution::AppendResult::NotAppended;
     case platform::AppendStatus::Unknown:
       break;
@@ -230,6 +234,10 @@
   {
     m_controlPlane.RefreshRoutingView();
   }
+  void operator()(const distribution::RolloutsChanged&) const
+  {
+    m_controlPlane.RefreshRoutingView();
+  }
   void operator()(const distribution::ReadinessChanged& aAction) const
   {
     m_controlPlane.m_shared.m_ready.store(aAction.m_ready);
@@ -330,22 +338,49 @@
     .m_address = m_settings.m_platformLog,
     .m_timeoutMs = static_cast<Milliseconds>(m_settings.m_timings.m_logTimeoutMs) });
   if (m_settings.m_operatorRecord) {
-    m_operatorSource = std::make_unique<OperatorConfigSource>(
-      m_context,
-      *m_log,
-      m_shared,
-      OperatorConfigSource::Hooks{
-        .m_shouldRead =
-          [this] { return distribution::ShouldReadOperatorRecord(*m_controller, Clock::Now()); },
-        .m_feed = [this](Event aEvent) { Feed(std::move(aEvent)); } });
-    m_operatorSource->Start();
+    StartOperatorSource();
   } else {
     m_shared.m_snapshot.store(config::MakeSnapshot(*m_controller->m_replay, m_settings.m_region));
   }
+  if (m_settings.m_rollouts) {
+    m_rolloutViews = RolloutViews{ .m_share = m_settings.m_rollouts->m_share * kTrialShareUsed };
+    m_statusWriter = std::make_unique<RolloutStatusWriter>(
+      m_context, *m_log, m_shared, m_settings.m_node, [this](Event aEvent) {
+        Feed(std::move(aEvent));
+      });
+    m_statusWriter->Start();
+  }
   RefreshRoutingView();
   asio::co_spawn(m_context, TickLoop(), asio::detached);
 }
 
+void
+ControlPlane::StartOperatorSource()
+{
+  m_operatorSource = std::make_unique<OperatorConfigSource>(
+    m_context,
+    *m_log,
+    m_shared,
+    OperatorConfigSource::Hooks{
+      .m_shouldRead =
+        [this] { return distribution::ShouldReadOperatorRecord(*m_controller, Clock::Now()); },
+      .m_feed = [this](Event aEvent) { FeedFromStore(std::move(aEvent)); } },
+    m_settings.m_rollouts.has_value());
+  m_operatorSource->Start();
+}
+
+// An order does not say which version it replaces; the targets do.
+void
+ControlPlane::FeedFromStore(Event aEvent)
+{
+  if (auto* ordered = std::get_if<distribution::RolloutOrdered>(&aEvent)) {
+    if (m_rolloutViews) {
+      ordered->m_established = EstablishedVersion(*m_rolloutViews, ordered->m_service);
+    }
+  }
+  Feed(std::move(aEvent));
+}
+
 void
 ControlPlane::Post(Event aEvent)
 {
@@ -371,6 +406,10 @@
 {
   while (!m_stopped) {
     Feed(distribution::Tick{});
+    if (m_rolloutViews && m_rolloutViews->m_reviewAt &&
+        Clock::Now() >= *m_rolloutViews->m_reviewAt) {
+      RefreshRoutingView();
+    }
     m_shared.m_lastControlTickMs.store(Clock::Now().m_ms);
     asio::steady_timer timer(m_context, std::chrono::milliseconds(distribution::kTickMs));
     co_await timer.async_wait(kAsTuple);
@@ -405,6 +444,9 @@
                                                    .m_perSecond = member.m_perSecond,
                                                    .m_version = member.m_version });
   }
+  if (m_rolloutViews) {
+    AddRollouts(*m_rolloutViews, *view, *m_controller, Clock::Now());
+  }
   m_shared.m_view.store(std::move(view));
 }
 
@@ -415,6 +457,9 @@
   if (m_operatorSource) {
     m_operatorSource->Stop();
   }
+  if (m_statusWriter) {
+    m_statusWriter->Stop();
+  }
   m_adminServer->CloseAll();
   if (m_metricsServer) {
     m_metricsServer->CloseAll();
@@ -440,6 +485,12 @@
   return m_links.Bytes();
 }
 
+std::uint64_t
+ControlPlane::RefusedRolloutOrders() const
+{
+  return m_operatorSource ? m_operatorSource->RefusedOrders() : 0;
+}
+
 std::string
 ControlPlane::LogMetricsText() const
 {
--- a/modules/node/src/ControlPlane.h
+++ b/modules/node/src/ControlPlane.h
@@ -11,6 +11,8 @@
 #include "Mailbox.h"
 #include "OperatorConfigSource.h"
 #include "PeerLinks.h"
+#include "RolloutStatusWriter.h"
+#include "RolloutViews.h"
 #include "Settings.h"
 #include "SharedState.h"
 
@@ -63,6 +65,8 @@
   ControlBytes Bytes() const;
   /// @return the log client's counters.
   platform::LogClientCounts LogCounts() const;
+  /// @return number of orders for rollouts that this node could not read.
+  std::uint64_t RefusedRolloutOrders() const;
   /// @return the log client's metrics in Prometheus text format.
   std::string LogMetricsText() const;
 
@@ -72,6 +76,8 @@
   Result<void> ListenForMetrics();
   std::string TopicName(std::string_view aName) const;
   net::Awaitable<void> TickLoop();
+  void StartOperatorSource();
+  void FeedFromStore(distribution::Event aEvent);
   void RefreshRoutingView();
 
   net::asio::io_context& m_context;
@@ -82,6 +88,9 @@
   Mailbox<distribution::Event> m_mailbox;
   std::unique_ptr<platform::LogClient> m_log;
   std::unique_ptr<OperatorConfigSource> m_operatorSource;
+  /// Both only if the settings have rollouts.
+  std::unique_ptr<RolloutStatusWriter> m_statusWriter;
+  std::optional<RolloutViews> m_rolloutViews;
   std::unique_ptr<AdminApi> m_admin;
   std::unique_ptr<net::HttpServer> m_adminServer;
   /// Null if the settings have no metrics address.
--- a/modules/node/src/OperatorConfigSource.cpp
+++ b/modules/node/src/OperatorConfigSource.cpp
@@ -4,6 +4,7 @@
 #include "LogCalls.h"
 #include "Names.h"
 #include "OperatorRecord.h"
+#include "RolloutRecord.h"
 #include "StoreCalls.h"
 
 #include <chrono>
@@ -61,16 +62,55 @@
   }
 }
 
+struct FinalState
+{
+  rollout::RolloutPhase m_phase = rollout::RolloutPhase::Completed;
+  std::uint64_t m_offset = 0;
+};
+
+// The final state of the order in the store, if aStates holds one.
+std::optional<FinalState>
+FindFinalState(const std::vector<platform::KeyedEntry>& aStates,
+               const adapter::RolloutOrder& aOrder,
+               std::uint64_t aOffset)
+{
+  for (const platform::KeyedEntry& entry : aStates) {
+    const auto status = entry.m_key == adapter::RolloutKey(aOrder.m_service)
+                          ? adapter::DecodeRolloutStatus(entry.m_value)
+                          : std::nullopt;
+    if (status && status->m_order == aOffset && status->m_version == aOrder.m_version &&
+        status->m_state != adapter::RolloutState::Running) {
+      const bool completed = status->m_state == adapter::RolloutState::Completed;
+      return FinalState{ .m_phase = completed ? rollout::RolloutPhase::Completed
+                                              : rollout::RolloutPhase::RolledBack,
+                         .m_offset = entry.m_offset };
+    }
+  }
+  return std::nullopt;
+}
+
 } // namespace
 
+struct OperatorConfigSource::OrderBatch
+{
+  std::uint64_t m_era = 0;
+  /// The records were written just now; else their age is not known.
+  bool m_fresh = false;
+  std::vector<platform::KeyedEntry> m_orders;
+  /// Newest records of the topic of states; read only for orders that are not fresh.
+  std::vector<platform::KeyedEntry> m_states;
+};
+
 OperatorConfigSource::OperatorConfigSource(asio::io_context& aContext,
                                            platform::LogClient& aLog,
                                            SharedState& aShared,
-                                           Hooks aHooks)
+                                           Hooks aHooks,
+                                           bool aFollowRollouts)
   : m_context(aContext)
   , m_log(aLog)
   , m_shared(aShared)
   , m_hooks(std::move(aHooks))
+  , m_followRollouts(aFollowRollouts)
 {
 }
 
@@ -107,10 +147,55 @@
 }
 
 void
-OperatorConfigSource::HandleEntry(const platform::KeyedEntry& aEntry)
+OperatorConfigSource::HandleEntry(const platform::KeyedEntry& aEntry, OrderBatch& aBatch)
 {
-  if (aEntry.m_key == adapter::kOperatorKey && !aEntry.m_value.empty()) {
+  if (aEntry.m_value.empty()) {
+    return;
+  }
+  if (aEntry.m_key == adapter::kOperatorKey) {
     InstallIfNewer(aEntry.m_value, {});
+  } else if (m_followRollouts && adapter::IsRolloutKey(aEntry.m_key)) {
+    aBatch.m_orders.push_back(aEntry);
+  }
+}
+
+void
+OperatorConfigSource::PassOrder(const platform::KeyedEntry& aEntry, const OrderBatch& aBatch)
+{
+  const auto order = Handle(
+    [&]() -> Result<std::optional<adapter::RolloutOrder>> {
+      BOOST_LEAF_AUTO(decoded, adapter::DecodeRolloutOrder(aEntry.m_key, aEntry.m_value));
+      return std::optional(decoded);
+    },
+    [&](const Error& aError) {
+      LogLine(LogLevel::Error, "rollout_order_refused")
+        .Add("key", aEntry.m_key)
+        .Add("order", aEntry.m_offset)
+        .Add("reason", aError.m_message)
+        .Add("total", ++m_refusedOrders);
+      return std::optional<adapter::RolloutOrder>();
+    });
+  if (!order) {
+    return;
+  }
+  distribution::RolloutOrdered ordered{ .m_service = order->m_service,
+                                        .m_version = order->m_version,
+                                        .m_durationMs = order->m_durationMs,
+                                        .m_order = { .m_era = aBatch.m_era,
+                                                     .m_offset = aEntry.m_offset },
+                                        .m_fresh = aBatch.m_fresh };
+  if (const auto final = FindFinalState(aBatch.m_states, *order, aEntry.m_offset)) {
+    ordered.m_phase = final->m_phase;
+    ordered.m_finalOffset = final->m_offset;
+  }
+  m_hooks.m_feed(std::move(ordered));
+}
+
+void
+OperatorConfigSource::PassOrders(const OrderBatch& aBatch)
+{
+  for (const platform::KeyedEntry& entry : aBatch.m_orders) {
+    PassOrder(entry, aBatch);
   }
 }
 
@@ -136,33 +221,62 @@
   co_await timer.async_wait(kAsTuple);
 }
 
+// Reads the states of rollouts, so that an order that was found in the store is not handled again.
+Awaitable<bool>
+OperatorConfigSource::ReadStates(OrderBatch& aBatch)
+{
+  if (aBatch.m_orders.empty()) {
+    co_return true;
+  }
+  auto states = co_await AwaitLogReply<platform::NewestReply>(m_context, [&](auto aHandler) {
+    m_log.ReadNewest(std::string(adapter::kStatusTopic), aHandler);
+  });
+  aBatch.m_states = std::move(states.m_entries);
+  co_return states.m_ok;
+}
+
+Awaitable<TopicRead>
+OperatorConfigSource::ReadNewestOnce()
+{
+  auto newest = co_await AwaitLogReply<platform::NewestReply>(m_context, [&](auto aHandler) {
+    m_log.ReadNewest(std::string(adapter::kOperatorTopic), aHandler);
+  });
+  OrderBatch batch{ .m_era = newest.m_era };
+  for (const platform::KeyedEntry& entry : newest.m_entries) {
+    HandleEntry(entry, batch);
+  }
+  const bool complete = co_await ReadStates(batch);
+  if (complete) {
+    PassOrders(batch);
+  }
+  co_return TopicRead{ .m_outcome = newest.m_ok && complete ? TopicReadOutcome::Succeeded
+                                                            : TopicReadOutcome::Failed,
+                       .m_next = newest.m_next,
+                       .m_era = newest.m_era };
+}
+
 Awaitable<TopicRead>
 OperatorConfigSource::ReadOnce()
 {
-  const std::string topic(adapter::kOperatorTopic);
   if (!m_follower.m_next) {
-    auto newest = co_await AwaitLogReply<platform::NewestReply>(
-      m_context, [&](auto aHandler) { m_log.ReadNewest(topic, aHandler); });
-    for (const platform::KeyedEntry& entry : newest.m_entries) {
-      HandleEntry(entry);
-    }
-    co_return TopicRead{ .m_outcome =
-                           newest.m_ok ? TopicReadOutcome::Succeeded : TopicReadOutcome::Failed,
-                         .m_next = newest.m_next,
-                         .m_era = newest.m_era };
+    const TopicRead newest = co_await ReadNewestOnce();
+    co_return newest;
   }
+  const std::string topic(adapter::kOperatorTopic);
   const std::uint64_t from = *m_follower.m_next;
   // After a failure the first answer must come at once: it tells whether the store was restored.
   const Milliseconds waitMs = m_follower.m_backoffMs > 0 ? 0 : kReadWaitMs;
   auto read = co_await AwaitLogReply<platform::ReadReply>(
     m_context, [&](auto aHandler) { m_log.Read(topic, from, waitMs, aHandler); });
   TopicRead result{ .m_outcome = OutcomeOf(read.m_status), .m_next = from, .m_era = read.m_era };
+  OrderBatch batch{ .m_era = read.m_era, .m_fresh = true };
   for (const platform::LogEntry& entry : read.m_entries) {
     result.m_next = entry.m_offset + 1;
     if (const auto keyed = adapter::DecodeKeyed(entry)) {
-      HandleEntry(*keyed);
+      HandleEntry(*keyed, batch);
     }
   }
+  PassOrders(batch);
   co_return result;
 }
 
--- a/modules/node/src/SharedState.h
+++ b/modules/node/src/SharedState.h
@@ -6,6 +6,7 @@
 #include "Clock.h"
 #include "Picker.h"
 #include "Replay.h"
+#include "RolloutTable.h"
 
 #include <atomic>
 #include <cstdint>
@@ -25,12 +26,24 @@
   bool m_draining = false;
 };
 
+/// The latest rollout of a service and the targets that take part in it.
+struct ServiceRollout
+{
+  rollout::Rollout m_rollout;
+  /// Candidates for requests on trial.
+  std::vector<routing::Candidate> m_trial;
+  /// Nodes whose target has another version and may still have work.
+  std::vector<std::string> m_oldTargets;
+};
+
 /// Immutable routing table for calls: every node that is not gone, and the candidate targets of
 /// each service.
 struct RoutingView
 {
   std::map<std::string, NodeAddress, std::less<>> m_nodes;
   std::map<std::string, std::vector<routing::Candidate>, std::less<>> m_services;
+  /// Rollouts by service; empty unless the settings have rollouts.
+  std::map<std::string, ServiceRollout, std::less<>> m_rollouts;
 };
 
 /// Counters of the call path; they never decrease.
--- a/modules/node/src/TargetRunner.cpp
+++ b/modules/node/src/TargetRunner.cpp
@@ -93,6 +93,19 @@
 {
 }
 
+void
+TargetRunner::SetRolloutHooks(RolloutHooks aHooks)
+{
+  m_rolloutHooks = std::move(aHooks);
+}
+
+std::string_view
+TargetRunner::VersionRefusal() const
+{
+  return m_rolloutHooks.m_refusalReason ? m_rolloutHooks.m_refusalReason(m_target)
+                                        : std::string_view();
+}
+
 void
 TargetRunner::ApplyServiceLimits(const std::string& aService)
 {
@@ -382,6 +395,9 @@
   if (m_leavingSince && Clock::Now() - *m_leavingSince > kLeavingDispatchMs) {
     co_return MakeRefusal("the target leaves", false);
   }
+  if (const std::string_view reason = VersionRefusal(); !reason.empty()) {
+    co_return MakeRefusal(reason, false);
+  }
   aRun->m_dispatched = true;
   m_shared.m_calls.m_dispatched.fetch_add(1, std::memory_order_relaxed);
   const std::shared_ptr<net::HttpClient> client = m_client;
@@ -411,7 +427,10 @@
   if (aCall.service != m_target.m_service) {
     return "the target here is of another service";
   }
-  return Clock::Now() < m_unreachableUntil ? "the target refuses connections" : "";
+  if (Clock::Now() < m_unreachableUntil) {
+    return "the target refuses connections";
+  }
+  return std::string(VersionRefusal());
 }
 
 void
@@ -517,6 +536,7 @@
     }
   };
   AnswerT answer;
+  const routing::TargetReport target = m_target; // Another one may take its place meanwhile.
   {
     const std::int64_t startUs = Clock::NowMicroseconds();
     SlotRelease release{ .m_runner = *this, .m_route = aCall.route, .m_startUs = startUs };
@@ -524,6 +544,9 @@
     answer.ran_us = static_cast<std::uint32_t>(Clock::NowMicroseconds() - startUs);
     release.m_durationKnown = answer.outcome == CallOutcome::Done || answer.timed_out;
   }
+  if (m_rolloutHooks.m_answered && aRun->m_dispatched) {
+    m_rolloutHooks.m_answered(target, aCall, answer);
+  }
   answer.outstanding = static_cast<std::uint16_t>(Outstanding());
   answer.service_us = static_cast<std::uint32_t>(m_admissionQueue.m_serviceUs);
   answer.held_us = static_cast<std::uint32_t>(Clock::NowMicroseconds() - arrivedUs);
--- a/modules/node/src/TargetRunner.h
+++ b/modules/node/src/TargetRunner.h
@@ -15,10 +15,12 @@
 
 #include <boost/asio/cancellation_signal.hpp>
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 namespace sequoiastep::node {
 
@@ -55,6 +57,18 @@
   /// @param aMetrics must outlive this.
   TargetRunner(net::asio::io_context& aContext, SharedState& aShared, CallMetrics& aMetrics);
 
+  /// The part of rollouts; all empty if the settings have none.
+  struct RolloutHooks
+  {
+    /// @return why the target's version may get no request now; empty if it may.
+    std::function<std::string_view(const routing::TargetReport&)> m_refusalReason;
+    /// Called when a request that was sent to the target has ended.
+    std::function<void(const routing::TargetReport&, const wire::CallT&, const wire::AnswerT&)>
+      m_answered;
+  };
+
+  /// Call before the first request.
+  void SetRolloutHooks(RolloutHooks aHooks);
   /// Applies the target's latest report.
   void SetTarget(const routing::TargetReport& aReport);
   /// Stops new work for the target, whose report has expired.
@@ -103,6 +117,7 @@
                                          Instant aDeadline,
                                          std::shared_ptr<TargetRun> aRun);
   std::string RefusalReason(const wire::CallT& aCall) const;
+  std::string_view VersionRefusal() const;
   void LogRefused(const wire::CallT& aCall,
                   std::string_view aCaller,
                   std::string_view aReason,
@@ -142,6 +157,7 @@
   /// Average service time by route, in microseconds.
   routing::RouteAverages m_serviceUs;
   std::uint64_t m_nextId = 1;
+  RolloutHooks m_rolloutHooks;
   bool m_targetPresent = false;
   bool m_stopping = false;
 };
--- a/modules/platform/include/LogClient.h
+++ b/modules/platform/include/LogClient.h
@@ -62,6 +62,12 @@
                    std::string_view aKey,
                    std::string_view aValue,
                    const OnAppend& aHandler);
+  /// Like AppendKeyed, but only if the topic ends at the offset aEnd; else the reply is EndMoved.
+  void AppendKeyedAt(const std::string& aTopic,
+                     std::string_view aKey,
+                     std::string_view aValue,
+                     std::uint64_t aEnd,
+                     const OnAppend& aHandler);
   /// @return histograms of the durations of requests, as Prometheus text. Any thread.
   std::string MetricsText() const;
   /// @return the totals so far. Any thread.
--- a/modules/platform/include/LogTypes.h
+++ b/modules/platform/include/LogTypes.h
@@ -68,6 +68,8 @@
   Appended,
   /// The record is not in the log: the log rejected it, or the request was never sent.
   Refused,
+  /// The record is not in the log, since the topic did not end at the offset that the append named.
+  EndMoved,
   /// No complete response arrived, or its status leaves the outcome open: the record may be in the
   /// log or be appended later.
   Unknown,
--- a/modules/platform/src/LogClient.cpp
+++ b/modules/platform/src/LogClient.cpp
@@ -177,10 +177,9 @@
 }
 
 Awaitable<AppendReply>
-AppendRecord(LogClientState& aState, std::string aTopic, std::string aBody)
+SendAppend(LogClientState& aState, HttpRequest aRequest)
 {
-  HttpRequest request = adapter::MakeAppendRequest(aTopic, aBody);
-  HttpResult result = co_await Exchange(aState, CallKind::Append, std::move(request), 0);
+  HttpResult result = co_await Exchange(aState, CallKind::Append, std::move(aRequest), 0);
   if (result.m_response) {
     co_return adapter::ParseAppendReply(*result.m_response);
   }
@@ -208,6 +207,19 @@
   return true;
 }
 
+void
+SubmitAppend(LogClientState& aState, HttpRequest aRequest, const LogClient::OnAppend& aHandler)
+{
+  const bool accepted =
+    Submit(aState, [&aState, request = std::move(aRequest), aHandler]() mutable -> Awaitable<void> {
+      AppendReply reply = co_await SendAppend(aState, std::move(request));
+      aHandler(reply);
+    });
+  if (!accepted) {
+    aHandler({ .m_status = AppendStatus::Refused, .m_offset = 0 });
+  }
+}
+
 } // namespace
 
 LogClient::LogClient(LogClientOptions aOptions)
@@ -254,14 +266,7 @@
 void
 LogClient::Append(const std::string& aTopic, const std::string& aBody, const OnAppend& aHandler)
 {
-  LogClientState& state = *m_state;
-  const bool accepted = Submit(state, [&state, aTopic, aBody, aHandler]() -> Awaitable<void> {
-    AppendReply reply = co_await AppendRecord(state, aTopic, aBody);
-    aHandler(reply);
-  });
-  if (!accepted) {
-    aHandler({ .m_status = AppendStatus::Refused, .m_offset = 0 });
-  }
+  SubmitAppend(*m_state, adapter::MakeAppendRequest(aTopic, aBody), aHandler);
 }
 
 void
@@ -273,6 +278,18 @@
   Append(aTopic, adapter::EncodeKeyed(aKey, aValue), aHandler);
 }
 
+void
+LogClient::AppendKeyedAt(const std::string& aTopic,
+                         std::string_view aKey,
+                         std::string_view aValue,
+                         std::uint64_t aEnd,
+                         const OnAppend& aHandler)
+{
+  SubmitAppend(*m_state,
+               adapter::MakeAppendAtRequest(aTopic, adapter::EncodeKeyed(aKey, aValue), aEnd),
+               aHandler);
+}
+
 std::string
 LogClient::MetricsText() const
 {
