--- a/tools/StandInTarget.cpp
+++ b/tools/StandInTarget.cpp
@@ -1,8 +1,8 @@
 // A test stand-in for a target: a limited number of slots, slow start, draining, load shedding,
 // cancellation when the connection closes (as at a deadline), and health and load endpoints, of
 // which the load endpoint can report stale or false values. It names a limit or that it leaves on
-// demand. Counts the runs of each X-Request-Id, so that tests can compare them with what callers
-// were told.
+// demand, and fails a share of its requests with 500. Counts the runs of each X-Request-Id, so that
+// tests can compare them with what callers were told.
 #include "Address.h"
 #include "Clock.h"
 #include "HttpClient.h"
@@ -35,6 +35,7 @@
 constexpr Milliseconds kAnnounceTimeoutMs = 1000;
 /// Window in which requests are counted against the limit that the target names.
 constexpr Milliseconds kLimitWindowMs = 4000;
+constexpr std::uint64_t kPercent = 100;
 
 struct TargetOptions
 {
@@ -46,6 +47,10 @@
   Milliseconds m_ttlMs = 3000;
   /// Value that the load endpoint always reports; below 0 it reports the measured load.
   Milliseconds m_fixedLoad = -1;
+  /// Software version that it announces; none if empty.
+  std::string m_version;
+  /// Requests out of 100 that fail with status 500, evenly spread.
+  std::uint64_t m_failPercent = 0;
   /// How long the load endpoint repeats a measured load before it takes a new one.
   Milliseconds m_loadLagMs = 0;
 };
@@ -70,6 +75,10 @@
       m_options.m_serviceTimeMs = std::stoll(aRequest.body());
       co_return net::MakeResponse(http::status::ok, "text/plain", "taken");
     }
+    if (path == "/standin/fail") {
+      m_options.m_failPercent = std::stoull(aRequest.body());
+      co_return net::MakeResponse(http::status::ok, "text/plain", "taken");
+    }
     if (path == "/standin/drain") {
       m_draining = true;
       co_return net::MakeResponse(http::status::ok, "text/plain", "draining");
@@ -104,12 +113,15 @@
     for (;;) {
       HttpRequest request(http::verb::post, "/target/v1/announce", 11);
       request.set(http::field::host, m_options.m_nodeAddress);
-      request.body() = json::serialize(json::object{ { "service", m_options.m_service },
-                                                     { "address", aOwnAddress },
-                                                     { "slots", m_options.m_slots },
-                                                     { "warm_up_ms", m_options.m_warmUpMs },
-                                                     { "ttl_ms", m_options.m_ttlMs },
-                                                     { "state", m_draining ? "draining" : "up" } });
+      json::object announcement{
+        { "service", m_options.m_service }, { "address", aOwnAddress },
+        { "slots", m_options.m_slots },     { "warm_up_ms", m_options.m_warmUpMs },
+        { "ttl_ms", m_options.m_ttlMs },    { "state", m_draining ? "draining" : "up" }
+      };
+      if (!m_options.m_version.empty()) {
+        announcement["version"] = m_options.m_version;
+      }
+      request.body() = json::serialize(announcement);
       request.prepare_payload();
       net::HttpResult result = co_await client.Send(std::move(request), kAnnounceTimeoutMs);
       asio::steady_timer timer(m_context, std::chrono::milliseconds(kAnnounceIntervalMs));
@@ -129,6 +141,8 @@
                              json::serialize(json::object{ { "runs", runs },
                                                            { "total", m_totalRuns },
                                                            { "shed", m_shed },
+                                                           { "running", m_running },
+                                                           { "failed", m_failed },
                                                            { "cancelled", m_cancelled },
                                                            { "most_running", m_maxRunning },
                                                            { "most_in_4_s", m_maxInWindow } }));
@@ -217,6 +231,12 @@
       co_await timer.async_wait(asio::use_awaitable);
     }
     slot.m_finished = true;
+    m_failureCredit += m_options.m_failPercent;
+    if (m_failureCredit >= kPercent) {
+      m_failureCredit -= kPercent;
+      ++m_failed;
+      co_return net::MakeResponse(http::status::internal_server_error, "text/plain", "failed");
+    }
     HttpResponse response = net::MakeResponse(
       http::status::ok,
       "application/json",
@@ -240,6 +260,9 @@
   std::uint64_t m_totalRuns = 0;
   std::uint64_t m_shed = 0;
   std::uint64_t m_cancelled = 0;
+  std::uint64_t m_failed = 0;
+  /// Hundredths of a failure that are due.
+  std::uint64_t m_failureCredit = 0;
   bool m_draining = false;
   /// Requests per second that responses name as the limit; empty for none.
   std::string m_limit;
@@ -256,15 +279,18 @@
 {
   asio::io_context context(1);
   const std::string listen = aOptions.Text("listen", "127.0.0.1:0");
-  TargetServer target(context,
-                      { .m_service = aOptions.Text("service", "jobboard"),
-                        .m_nodeAddress = aOptions.Text("node", ""),
-                        .m_slots = static_cast<std::uint64_t>(aOptions.Number("slots", 6)),
-                        .m_serviceTimeMs = aOptions.Number("work-ms", 1),
-                        .m_warmUpMs = aOptions.Number("cold-ms", 0),
-                        .m_ttlMs = aOptions.Number("ttl-ms", 3000),
-                        .m_fixedLoad = aOptions.Number("claimed-load", -1),
-                        .m_loadLagMs = aOptions.Number("load-lag-ms", 0) });
+  TargetServer target(
+    context,
+    { .m_service = aOptions.Text("service", "jobboard"),
+      .m_nodeAddress = aOptions.Text("node", ""),
+      .m_slots = static_cast<std::uint64_t>(aOptions.Number("slots", 6)),
+      .m_serviceTimeMs = aOptions.Number("work-ms", 1),
+      .m_warmUpMs = aOptions.Number("cold-ms", 0),
+      .m_ttlMs = aOptions.Number("ttl-ms", 3000),
+      .m_fixedLoad = aOptions.Number("claimed-load", -1),
+      .m_version = aOptions.Text("version", ""),
+      .m_failPercent = static_cast<std::uint64_t>(aOptions.Number("fail-percent", 0)),
+      .m_loadLagMs = aOptions.Number("load-lag-ms", 0) });
   net::HttpServer server(
     context,
     { .m_idleTimeoutMs = 600'000 },
