Show rollouts to operators

Cause: an operator must be able to order a rollout, watch it and read why a version was rolled back. POST /admin/v1/rollouts is left out: deployments by publications do not follow a topic with orders yet. Measured: rollouts.sh passed with the command's output checked; unit tests pass.

--- a/modules/cli/src/CommandsPriv.h
+++ b/modules/cli/src/CommandsPriv.h
@@ -27,6 +27,8 @@
 ExitCode
 RunStatusCommand(const GivenOptions& aOptions);
 ExitCode
+RunRolloutsCommand(const GivenOptions& aOptions);
+ExitCode
 RunExplainCommand(const GivenOptions& aOptions);
 ExitCode
 RunCheckCommand(const GivenOptions& aOptions);
--- a/modules/cli/src/NodeCommands.cpp
+++ b/modules/cli/src/NodeCommands.cpp
@@ -1,4 +1,4 @@
-// The commands status, drain and keys, which send one request to one node.
+// The commands status, rollouts, drain and keys, which send one request to one node.
 #include "CommandsPriv.h"
 
 #include <boost/json.hpp>
@@ -55,6 +55,28 @@
   }
 }
 
+void
+PrintRollouts(const json::object& aBody)
+{
+  const json::value* rollouts = aBody.if_contains("rollouts");
+  if (rollouts == nullptr || !rollouts->is_array()) {
+    return;
+  }
+  for (const json::value& rollout : rollouts->get_array()) {
+    const json::object& row = rollout.as_object();
+    fmt::print("service {}: version {} after {}, phase {}, stored {}, order {}, {} ms left, "
+               "targets {}\n",
+               FieldText(row, "service"),
+               FieldText(row, "version"),
+               FieldText(row, "established"),
+               FieldText(row, "phase"),
+               FieldText(row, "stored"),
+               FieldText(row, "order"),
+               FieldText(row, "left_ms"),
+               FieldText(row, "targets"));
+  }
+}
+
 // Prints the detail of an error response.
 ExitCode
 ExitCodeFor(const AdminResponse& aResponse)
@@ -84,6 +106,26 @@
   return ExitCodeFor(*response);
 }
 
+ExitCode
+RunRolloutsCommand(const GivenOptions& aOptions)
+{
+  ExitCode exit = ExitCode::Done;
+  const auto response = SendToNode(aOptions, { .m_target = "/admin/v1/rollouts" }, exit);
+  if (!response) {
+    return exit;
+  }
+  exit = ExitCodeFor(*response);
+  if (exit != ExitCode::Done) {
+    return exit;
+  }
+  if (RequestedFormat(aOptions) == OutputFormat::Json) {
+    fmt::print("{}\n", response->m_body);
+  } else {
+    PrintRollouts(ParseResponseBody(response->m_body));
+  }
+  return exit;
+}
+
 ExitCode
 RunDrainCommand(const GivenOptions& aOptions)
 {
--- a/modules/node/src/AdminApi.cpp
+++ b/modules/node/src/AdminApi.cpp
@@ -224,16 +224,54 @@
     if (member.m_perSecond) {
       members.back().as_object()["limit_per_second"] = *member.m_perSecond;
     }
+    if (!member.m_version.empty()) {
+      members.back().as_object()["target_version"] = member.m_version;
+    }
   }
   return JsonResponse(http::status::ok, { { "members", members } });
 }
 
+HttpResponse
+AdminApi::GetRollouts() const
+{
+  const distribution::Controller& controller = m_controlPlane.ControllerState();
+  json::array rollouts;
+  for (const auto& [service, rollout] : controller.m_rollouts.m_services) {
+    std::map<std::string, std::uint64_t> targets;
+    for (const auto& [node, record] : controller.m_table.m_members) {
+      const membership::Member& member = record.m_member;
+      if (member.m_service == service && membership::IsLive(member.m_state)) {
+        ++targets[member.m_version];
+      }
+    }
+    json::object targetCounts;
+    for (const auto& [version, count] : targets) {
+      targetCounts[version] = count;
+    }
+    rollouts.push_back(json::object{ { "service", service },
+                                     { "version", rollout.m_version },
+                                     { "established", rollout.m_established },
+                                     { "phase", rollout::NameOf(rollout.m_phase) },
+                                     { "stored", rollout.m_finalOffset.has_value() },
+                                     { "order", rollout.m_order.m_offset },
+                                     { "era", rollout.m_order.m_era },
+                                     { "duration_ms", rollout.m_durationMs },
+                                     { "left_ms", rollout.m_deadline - Clock::Now() },
+                                     { "targets", targetCounts } });
+  }
+  return JsonResponse(http::status::ok, { { "rollouts", rollouts } });
+}
+
 Awaitable<HttpResponse>
 AdminApi::GetMetrics() const
 {
   std::string text = ControlMetricsText(
     m_controlPlane.ControllerState(), m_controlPlane.Bytes(), m_controlPlane.LogCounts());
   text += m_controlPlane.LogMetricsText();
+  if (m_settings.m_rollouts) {
+    text += fmt::format("sequoiastep_rollout_orders_refused_total {}\n",
+                        m_controlPlane.RefusedRolloutOrders());
+  }
   const std::string calls = co_await m_hooks.m_callMetrics();
   text += calls;
   co_return net::MakeResponse(http::status::ok, "text/plain; version=0.0.4", std::move(text));
@@ -284,6 +322,9 @@
   if (isGet && path == "/admin/v1/members") {
     co_return GetMembers();
   }
+  if (isGet && path == "/admin/v1/rollouts" && m_settings.m_rollouts) {
+    co_return GetRollouts();
+  }
   if (isGet && path == "/admin/v1/spans") {
     co_return net::MakeResponse(http::status::ok, "text/plain", RecentSpans());
   }
--- a/modules/node/src/AdminApi.h
+++ b/modules/node/src/AdminApi.h
@@ -52,6 +52,7 @@
   net::HttpResponse GetConfig(const net::HttpRequest& aRequest) const;
   net::HttpResponse GetStatus() const;
   net::HttpResponse GetMembers() const;
+  net::HttpResponse GetRollouts() const;
   net::Awaitable<net::HttpResponse> GetMetrics() const;
 
   net::asio::io_context& m_context;
--- a/tests/whole/rollouts.sh
+++ b/tests/whole/rollouts.sh
@@ -99,5 +99,7 @@
 for n in "${old[@]}"; do expect "requests of old target $n after completion" "${BEFORE[n]}" "$(total_of "$n")"; done
 cat "$MESH_DIR/load-good.txt"
 expect "records of states after two rollouts" 4 "$(states_written)"
+"$BIN/sequoiastep" rollouts --node "$(admin_of 1)" | grep -q 'service jobboard: version v3 after v1, phase completed, stored true' ||
+  fail "the command rollouts says: $("$BIN/sequoiastep" rollouts --node "$(admin_of 1)")"
 for n in "${fresh[@]}"; do [ "$(total_of "$n")" -gt "$((RATE * 3))" ] || fail "target $n of the completed version got $(total_of "$n") requests only"; done
 echo "rollouts: all checks passed"
