Enforce quotas of workspaces at the nodes

Cause: the quota module decides, but nothing asked it. Change: QuotaClient asks owners over the call links and answers asks; Route takes a token for a request whose workspace has a quota, and refuses with 429, Retry-After and not_run. The routing view tells which nodes are suspected, and which are gone without having announced a stop. Metrics for the eight largest quotas and the others. The load tool can send headers. Nothing is done without the section quotas.

--- a/modules/node/src/CallJob.h
+++ b/modules/node/src/CallJob.h
@@ -7,6 +7,7 @@
 #include "Messages_generated.h"
 #include "Picker.h"
 #include "Placement.h"
+#include "QuotaToken.h"
 #include "Retry.h"
 
 #include <cstdint>
@@ -31,6 +32,8 @@
   Instant m_objective;
   /// Estimated size of request and answer.
   double m_estimatedKilobytes = 1;
+  /// Token of its workspace's quota; none without a quota.
+  std::optional<QuotaToken> m_quotaToken;
 };
 
 /// Results of a call's attempts so far.
--- a/modules/node/src/CallLinks.cpp
+++ b/modules/node/src/CallLinks.cpp
@@ -23,6 +23,10 @@
 constexpr Milliseconds kReviewIntervalMs = 50;
 // Other frames of the link are sent between two chunks.
 constexpr std::size_t kBodyChunkBytes = 16U << 10;
+// How long a node that could not be reached counts as silent.
+constexpr Milliseconds kSilentNodeMs = 5000;
+// How long a link without calls stays open after an ask for quota tokens.
+constexpr Milliseconds kAskLinkIdleMs = 30'000;
 
 } // namespace
 
@@ -49,6 +53,14 @@
   CallReply m_reply{ .m_kind = CallReply::Kind::TimedOut, .m_answer = {} };
 };
 
+// An ask for quota tokens that waits for its reply. The wait ends when the timer expires or is
+// cancelled.
+struct CallLinks::PendingAsk
+{
+  asio::steady_timer m_timer;
+  std::optional<wire::QuotaGrantT> m_grant;
+};
+
 // The link to one node; exists from the first call to it, while the connection is still opened.
 struct CallLinks::Link
 {
@@ -56,6 +68,9 @@
   std::unique_ptr<net::FrameConnection> m_connection;
   /// Calls that wait for an answer, by call id.
   std::map<std::uint64_t, PendingCall*> m_pending;
+  /// Asks for quota tokens that wait for a reply, by ask id.
+  std::map<std::uint64_t, PendingAsk*> m_asks;
+  std::optional<Instant> m_askedAt;
   routing::LinkLiveness m_liveness;
   /// Bytes received until the last RecordReceivedBytes().
   std::uint64_t m_receivedBytes = 0;
@@ -77,6 +92,7 @@
   auto connection = co_await DialPeer(m_context, m_identity, aAddress, wire::Purpose::Calls, hello);
   aLink->m_connecting = false;
   if (connection && hello.node == aNode && !m_stopped) {
+    m_silentNodes.erase(aNode);
     aLink->m_connection = std::move(connection);
     routing::RecordReceived(aLink->m_liveness, Clock::Now());
     aLink->m_connection->Start(
@@ -95,6 +111,7 @@
         }
       });
   } else {
+    m_silentNodes[aNode] = Clock::Now();
     LogLine(LogLevel::Info, "call_link_failed", aNode)
       .Add("peer", aNode)
       .Add("address", aAddress)
@@ -188,10 +205,7 @@
   if (!link || routing::IsSuspect(link->m_liveness, Clock::Now())) {
     co_return CallReply{ .m_kind = CallReply::Kind::NotSent, .m_answer = {} };
   }
-  if (!m_livenessLoopRuns) {
-    m_livenessLoopRuns = true;
-    asio::co_spawn(m_context, LivenessLoop(), asio::detached);
-  }
+  StartLivenessLoop();
   if (routing::NeedsProbe(link->m_liveness, Clock::Now())) {
     SendProbe(*link);
   }
@@ -246,6 +260,75 @@
   co_return std::move(pending.m_reply);
 }
 
+void
+CallLinks::StartLivenessLoop()
+{
+  if (!m_livenessLoopRuns) {
+    m_livenessLoopRuns = true;
+    asio::co_spawn(m_context, LivenessLoop(), asio::detached);
+  }
+}
+
+Awaitable<std::optional<wire::QuotaGrantT>>
+CallLinks::AskQuota(std::string aNode,
+                    std::string aAddress,
+                    wire::QuotaAskT aAsk,
+                    Milliseconds aTimeoutMs)
+{
+  const Instant start = Clock::Now();
+  const LinkPtr link = co_await OpenLink(aNode, std::move(aAddress), aTimeoutMs);
+  const Milliseconds left = aTimeoutMs - (Clock::Now() - start);
+  if (!link || left <= 0) {
+    co_return std::nullopt;
+  }
+  PendingAsk pending{ .m_timer = asio::steady_timer(m_context, std::chrono::milliseconds(left)),
+                      .m_grant = std::nullopt };
+  aAsk.id = m_nextId++;
+  const std::uint64_t id = aAsk.id;
+  link->m_askedAt = Clock::Now();
+  link->m_asks.emplace(id, &pending);
+  struct RemoveAsk
+  {
+    Link& m_link;
+    std::uint64_t m_id;
+    ~RemoveAsk() { m_link.m_asks.erase(m_id); }
+  };
+  const RemoveAsk removeAsk{ .m_link = *link, .m_id = id };
+  link->m_connection->Send(wire::EncodeFrame(wire::MakeEnvelope(std::move(aAsk))));
+  co_await pending.m_timer.async_wait(kAsTuple);
+  if (!pending.m_grant && link->m_connection->IsOpen()) {
+    // A peer of an older build answers the probe only. A dead link is found and dropped.
+    RecordReceivedBytes(*link, Clock::Now());
+    if (routing::NeedsProbe(link->m_liveness, Clock::Now())) {
+      SendProbe(*link);
+      StartLivenessLoop();
+    }
+  }
+  co_return std::move(pending.m_grant);
+}
+
+// The ask may have timed out meanwhile; its tokens then stay unused.
+void
+CallLinks::ReceiveGrant(Link& aLink, const wire::QuotaGrantT& aGrant)
+{
+  const auto found = aLink.m_asks.find(aGrant.id);
+  if (found != aLink.m_asks.end()) {
+    found->second->m_grant = aGrant;
+    found->second->m_timer.cancel();
+  }
+}
+
+LinkSample
+CallLinks::Sample(Instant aNow)
+{
+  std::erase_if(m_silentNodes,
+                [&](const auto& aItem) { return aNow - aItem.second > kSilentNodeMs; });
+  const auto heard = std::count_if(m_links.begin(), m_links.end(), [&](const auto& aItem) {
+    return aItem.second->m_connection && !m_silentNodes.contains(aItem.first);
+  });
+  return { .m_heard = static_cast<std::size_t>(heard), .m_silent = m_silentNodes.size() };
+}
+
 // Sends the bytes of a call's body that the peer granted.
 void
 CallLinks::SendBody(Link& aLink, const wire::BodyGrantT& aGrant)
@@ -276,6 +359,10 @@
     SendBody(*aLink, *aMessage.body.AsBodyGrant());
     return;
   }
+  if (aMessage.body.type == wire::Body::QuotaGrant) {
+    ReceiveGrant(*aLink, *aMessage.body.AsQuotaGrant());
+    return;
+  }
   if (aMessage.body.type != wire::Body::Answer) {
     return;
   }
@@ -303,6 +390,9 @@
     FailCall(*call);
   }
   aLink->m_pending.clear(); // The peer is gone: no Cancel is sent.
+  for (const auto& [id, ask] : aLink->m_asks) {
+    ask->m_timer.cancel();
+  }
   WakeWaiters(*aLink);
 }
 
@@ -323,6 +413,7 @@
     .Add("peer", aNode)
     .Add("heard_ms_ago", Clock::Now() - aLink->m_liveness.m_heardAt)
     .Add("waiting_calls", aLink->m_pending.size());
+  m_silentNodes[aNode] = Clock::Now();
   m_links.erase(aNode);
   for (const auto& [id, call] : aLink->m_pending) {
     if (call->m_repeatable || !call->MayRun()) {
@@ -400,7 +491,8 @@
 {
   std::erase_if(m_links, [&](const auto& aItem) {
     const auto& [node, link] = aItem;
-    if (link->m_connecting || !link->m_pending.empty()) {
+    const bool asked = link->m_askedAt && Clock::Now() - *link->m_askedAt < kAskLinkIdleMs;
+    if (link->m_connecting || !link->m_pending.empty() || asked) {
       return false;
     }
     for (const auto& [service, candidates] : aView.m_services) {
--- a/modules/node/src/CallLinks.h
+++ b/modules/node/src/CallLinks.h
@@ -39,6 +39,15 @@
   wire::AnswerT m_answer;
 };
 
+/// Nodes that this one tried to reach over call links lately, itself not included.
+struct LinkSample
+{
+  /// Nodes with a working link.
+  std::size_t m_heard = 0;
+  /// Nodes that could not be reached, or fell silent, and have not been heard since.
+  std::size_t m_silent = 0;
+};
+
 /// Opens links on demand and detects dead ones. Use on the calls thread only.
 class CallLinks
 {
@@ -53,6 +62,15 @@
                                  std::string aAddress,
                                  wire::CallT aCall,
                                  std::int64_t aTimeoutMs);
+  /// Asks the node at aAddress for tokens of a quota. It does not count as a call in progress.
+  /// @param aTimeoutMs timeout in milliseconds, the time to open a link included.
+  /// @return the reply, or nothing if none came in time.
+  net::Awaitable<std::optional<wire::QuotaGrantT>> AskQuota(std::string aNode,
+                                                            std::string aAddress,
+                                                            wire::QuotaAskT aAsk,
+                                                            Milliseconds aTimeoutMs);
+  /// @return which nodes could be reached in the last seconds.
+  LinkSample Sample(Instant aNow);
   /// This node stops: asks the nodes that calls were sent to for an answer by aAt, and limits later
   /// calls to that time.
   void ShortenCalls(Instant aAt);
@@ -67,6 +85,7 @@
 
 private:
   struct PendingCall;
+  struct PendingAsk;
   struct Link;
   using LinkPtr = std::shared_ptr<Link>;
 
@@ -75,6 +94,8 @@
                                    std::string aAddress,
                                    std::int64_t aTimeoutMs);
   void Receive(const LinkPtr& aLink, wire::EnvelopeT aMessage);
+  static void ReceiveGrant(Link& aLink, const wire::QuotaGrantT& aGrant);
+  void StartLivenessLoop();
   void HandleClosed(const LinkPtr& aLink, const std::string& aNode);
   net::Awaitable<void> WaitForWake(LinkPtr aLink, Milliseconds aMaxMs);
   static void WakeWaiters(Link& aLink);
@@ -92,6 +113,8 @@
   Identity m_identity;
   SharedState& m_shared;
   std::map<std::string, LinkPtr, std::less<>> m_links;
+  /// When a node was last found unreachable or silent; it has not been heard since.
+  std::map<std::string, Instant, std::less<>> m_silentNodes;
   /// All calls that wait for an answer, also on links that were dropped.
   std::set<PendingCall*> m_waiting;
   /// This node needs all answers by then; none while it does not stop.
--- a/modules/node/src/CallProxy.cpp
+++ b/modules/node/src/CallProxy.cpp
@@ -69,6 +69,7 @@
                     },
                   .m_probe = [this] { asio::co_spawn(m_context, ProbeTarget(), asio::detached); } })
   , m_links(aContext, aIdentity, aShared)
+  , m_quotas(aContext, aSettings, aIdentity.m_node, aShared, m_links)
   , m_keyedCalls(aContext,
                  aIdentity.m_node,
                  aIdentity.m_incarnation,
@@ -164,6 +165,7 @@
     m_bodies.SendGrants();
     m_targetApi.ExpireReport(Clock::Now());
     ApplyCallerLimits();
+    m_quotas.Tick();
     if (routing::NeedsAnnouncement(m_announcedNotice, m_runner.Notice(), Clock::Now())) {
       AnnounceTarget();
     }
--- a/modules/node/src/CallProxy.h
+++ b/modules/node/src/CallProxy.h
@@ -13,6 +13,7 @@
 #include "HttpServer.h"
 #include "KeyedCalls.h"
 #include "Picker.h"
+#include "QuotaClient.h"
 #include "Random.h"
 #include "Retry.h"
 #include "RouteAverages.h"
@@ -153,6 +154,12 @@
                     const wire::AnswerT& aAnswer,
                     const std::string& aNode,
                     std::int64_t aElapsedUs);
+  net::HttpResponse RefuseOverQuota(const CallJob& aJob, const QuotaDecision& aDecision);
+  net::Awaitable<std::optional<net::HttpResponse>> TakeQuotaToken(
+    std::string aWorkspace,
+    std::shared_ptr<const config::Snapshot> aSnapshot,
+    CallJob& aJob);
+  void ReturnUnusedToken(const CallJob& aJob, const CallAttempts& aAttempts);
   net::HttpResponse Respond(const CallJob& aJob, const wire::AnswerT& aAnswer);
   void CountOutcome(wire::CallOutcome aOutcome);
   net::Awaitable<void> TickLoop();
@@ -176,6 +183,7 @@
   BodyReceiver m_bodies;
   TargetApi m_targetApi;
   CallLinks m_links;
+  QuotaClient m_quotas;
   KeyedCalls m_keyedCalls;
   CallerKeys m_callerKeys;
   net::HttpServer m_callerServer;
--- a/modules/node/src/CallProxyMetrics.cpp
+++ b/modules/node/src/CallProxyMetrics.cpp
@@ -39,6 +39,7 @@
   const LogCounts lines = CountsOfLog();
   text += fmt::format("sequoiastep_log_lines_suppressed_total {}\n", lines.m_suppressed);
   text += fmt::format("sequoiastep_log_lines_dropped_total {}\n", lines.m_dropped);
+  m_quotas.AppendText(text);
   m_metrics.AppendText(text);
   return text;
 }
--- a/modules/node/src/CallProxyRoute.cpp
+++ b/modules/node/src/CallProxyRoute.cpp
@@ -198,6 +198,11 @@
       fmt::format("version {} has no route for this path and method", snapshot->m_version));
   }
   CallJob job = MakeJob(aRequest, *snapshot, *route);
+  std::string workspace(aRequest[adapter::kWorkspace]);
+  auto refusal = co_await TakeQuotaToken(std::move(workspace), snapshot, job);
+  if (refusal) {
+    co_return std::move(*refusal);
+  }
   HttpResponse response = co_await RunJob(std::move(job));
   response.set("Sequoiastep-Version", std::to_string(snapshot->m_version));
   co_return response;
@@ -496,6 +501,7 @@
     HandleAttemptResult(aJob, attempts, std::move(answer));
   }
   leftGuard.Dismiss();
+  ReturnUnusedToken(aJob, attempts);
   RecordCallEnd(aJob, attempts, span.ElapsedUs());
   span.End(NameOf(attempts.m_answer.outcome), attempts.m_lastNode);
   co_return Respond(aJob, attempts.m_answer);
--- a/modules/node/src/CallProxyServe.cpp
+++ b/modules/node/src/CallProxyServe.cpp
@@ -122,6 +122,13 @@
     m_bodies.AddChunk({ .m_link = aLink->m_number, .m_call = chunk.id }, chunk);
     return;
   }
+  if (aMessage.body.type == wire::Body::QuotaAsk) {
+    if (m_quotas.IsEnabled()) {
+      aLink->m_connection->Send(
+        wire::EncodeFrame(wire::MakeEnvelope(m_quotas.Answer(*aMessage.body.AsQuotaAsk()))));
+    }
+    return;
+  }
   if (aMessage.body.type != wire::Body::Call) {
     return;
   }
--- a/modules/node/src/ControlPlane.cpp
+++ b/modules/node/src/ControlPlane.cpp
@@ -125,6 +125,15 @@
   return distribution::AppendResult::Unknown;
 }
 
+// True for a member that is gone now if it was not draining before.
+bool
+WasLost(const RoutingView& aPrevious, const std::string& aNode)
+{
+  const auto before = aPrevious.m_nodes.find(aNode);
+  return before == aPrevious.m_nodes.end() ? aPrevious.m_lost.contains(aNode)
+                                           : !before->second.m_draining;
+}
+
 } // namespace
 
 // Performs one action that the controller asked for.
@@ -382,6 +391,7 @@
 ControlPlane::RefreshRoutingView()
 {
   auto view = std::make_shared<RoutingView>();
+  const auto previous = m_shared.m_view.load();
   for (const auto& [node, record] : m_controller->m_table.m_members) {
     const membership::Member& member = record.m_member;
     const bool suspect = member.m_state == membership::MemberState::Suspect;
@@ -389,7 +399,11 @@
       view->m_nodes[node] = { .m_address = member.m_address,
                               .m_incarnation = member.m_incarnation,
                               .m_region = member.m_region,
-                              .m_draining = member.m_state == membership::MemberState::Draining };
+                              .m_draining = member.m_state == membership::MemberState::Draining,
+                              .m_up = member.m_state == membership::MemberState::Up,
+                              .m_suspect = suspect };
+    } else if (previous && WasLost(*previous, node)) {
+      view->m_lost.insert(node);
     }
     if (member.m_service.empty() || (member.m_state != membership::MemberState::Up && !suspect)) {
       continue;
--- a/modules/node/src/SharedState.h
+++ b/modules/node/src/SharedState.h
@@ -11,6 +11,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -23,6 +24,9 @@
   std::uint64_t m_incarnation = 0;
   std::string m_region;
   bool m_draining = false;
+  /// Ready, not draining and not suspected.
+  bool m_up = false;
+  bool m_suspect = false;
 };
 
 /// Immutable routing table for calls: every node that is not gone, and the candidate targets of
@@ -31,6 +35,8 @@
 {
   std::map<std::string, NodeAddress, std::less<>> m_nodes;
   std::map<std::string, std::vector<routing::Candidate>, std::less<>> m_services;
+  /// Nodes that were declared gone without having announced a stop: they may be cut off.
+  std::set<std::string, std::less<>> m_lost;
 };
 
 /// Counters of the call path; they never decrease.
--- a/tools/Load.cpp
+++ b/tools/Load.cpp
@@ -45,12 +45,28 @@
   return parts;
 }
 
+// Parses NAME:VALUE,NAME:VALUE.
+std::map<std::string, std::string>
+ParseHeaders(const std::string& aText)
+{
+  std::map<std::string, std::string> headers;
+  for (const std::string& header : SplitAtCommas(aText)) {
+    const std::size_t colon = header.find(':');
+    if (colon != std::string::npos) {
+      headers[header.substr(0, colon)] = header.substr(colon + 1);
+    }
+  }
+  return headers;
+}
+
 struct RequestTemplate
 {
   http::verb m_method = http::verb::get;
   std::string m_path;
   std::string m_body;
   std::string m_idPrefix;
+  /// Names and values of further headers.
+  std::map<std::string, std::string> m_headers;
 };
 
 using Clients = std::vector<std::unique_ptr<net::HttpClient>>;
@@ -61,6 +77,9 @@
   net::HttpRequest request(aTemplate.m_method, aTemplate.m_path, 11);
   request.set(http::field::host, "load");
   request.set("X-Request-Id", fmt::format("{}-{}", aTemplate.m_idPrefix, aNumber));
+  for (const auto& [name, value] : aTemplate.m_headers) {
+    request.set(name, value);
+  }
   request.body() = aTemplate.m_body;
   request.prepare_payload();
   return request;
@@ -145,7 +164,8 @@
     .m_method = aOptions.Text("method", "GET") == "POST" ? http::verb::post : http::verb::get,
     .m_path = aOptions.Text("path", "/"),
     .m_body = std::string(static_cast<std::size_t>(aOptions.Number("body-bytes", 0)), 'x'),
-    .m_idPrefix = aOptions.Text("prefix", "load")
+    .m_idPrefix = aOptions.Text("prefix", "load"),
+    .m_headers = ParseHeaders(aOptions.Text("headers", ""))
   };
   LoadResults results;
   asio::co_spawn(context,
