--- a/modules/node/src/CallProxy.h
+++ b/modules/node/src/CallProxy.h
@@ -13,6 +13,7 @@
 #include "HttpServer.h"
 #include "KeyedCalls.h"
 #include "Picker.h"
+#include "QuotaClient.h"
 #include "Random.h"
 #include "Retry.h"
 #include "RolloutCalls.h"
@@ -166,6 +167,12 @@
                     const wire::AnswerT& aAnswer,
                     const std::string& aNode,
                     std::int64_t aElapsedUs);
+  net::HttpResponse RefuseOverQuota(const CallJob& aJob, const QuotaDecision& aDecision);
+  net::Awaitable<std::optional<net::HttpResponse>> TakeQuotaToken(
+    std::string aWorkspace,
+    std::shared_ptr<const config::Snapshot> aSnapshot,
+    CallJob& aJob);
+  void ReturnUnusedToken(const CallJob& aJob, const CallAttempts& aAttempts);
   net::HttpResponse Respond(const CallJob& aJob, const wire::AnswerT& aAnswer);
   void CountOutcome(wire::CallOutcome aOutcome);
   net::Awaitable<void> TickLoop();
@@ -191,6 +198,7 @@
   CallLinks m_links;
   /// Null unless the settings have rollouts.
   std::unique_ptr<RolloutCalls> m_rolloutCalls;
+  QuotaClient m_quotas;
   KeyedCalls m_keyedCalls;
   CallerKeys m_callerKeys;
   net::HttpServer m_callerServer;
--- a/modules/node/src/CallProxyServe.cpp
+++ b/modules/node/src/CallProxyServe.cpp
@@ -126,6 +126,13 @@
     m_rolloutCalls->Receive(aLink->m_node, std::move(*aMessage.body.AsRolloutEvidence()));
     return;
   }
+  if (aMessage.body.type == wire::Body::QuotaAsk) {
+    if (m_quotas.IsEnabled()) {
+      aLink->m_connection->Send(
+        wire::EncodeFrame(wire::MakeEnvelope(m_quotas.Answer(*aMessage.body.AsQuotaAsk()))));
+    }
+    return;
+  }
   if (aMessage.body.type != wire::Body::Call) {
     return;
   }
--- a/modules/node/src/SharedState.h
+++ b/modules/node/src/SharedState.h
@@ -12,6 +12,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -24,6 +25,9 @@
   std::uint64_t m_incarnation = 0;
   std::string m_region;
   bool m_draining = false;
+  /// Ready, not draining and not suspected.
+  bool m_up = false;
+  bool m_suspect = false;
 };
 
 /// The latest rollout of a service and the targets that take part in it.
@@ -44,6 +48,8 @@
   std::map<std::string, std::vector<routing::Candidate>, std::less<>> m_services;
   /// Rollouts by service; empty unless the settings have rollouts.
   std::map<std::string, ServiceRollout, std::less<>> m_rollouts;
+  /// Nodes that were declared gone without having announced a stop: they may be cut off.
+  std::set<std::string, std::less<>> m_lost;
 };
 
 /// Counters of the call path; they never decrease.
