--- a/modules/node/src/RolloutStatusWriter.cpp
+++ b/modules/node/src/RolloutStatusWriter.cpp
@@ -22,6 +22,9 @@
 constexpr Milliseconds kPollMs = 50;
 // The second judge writes what the store has lacked for this long.
 constexpr Milliseconds kTakeoverMs = 2000;
+// An attempt without an answer is repeated after this time, so that a lost message does not cost
+// the deadline. Several attempts at once do no harm, as their appends are conditional.
+constexpr Milliseconds kAttemptMs = 500;
 constexpr Milliseconds kMinBackoffMs = 100;
 constexpr Milliseconds kMaxBackoffMs = 1000;
 
@@ -123,13 +126,15 @@
     progress.m_retryAt = {};
     progress.m_backoffMs = 0;
   }
-  if (!missing || progress.m_superseded || progress.m_inFlight || aNow < progress.m_retryAt) {
+  const bool awaitsAnswer = progress.m_inFlight && aNow - progress.m_startedAt < kAttemptMs;
+  if (!missing || progress.m_superseded || awaitsAnswer || aNow < progress.m_retryAt) {
     return;
   }
   const std::size_t rank = RankAsJudge(aView, aRollout.m_service, m_node);
   if (rank == 0 || (rank == 1 && aNow - progress.m_wantedSince >= kTakeoverMs)) {
     progress.m_inFlight = true;
-    asio::co_spawn(m_context, Write(aRollout, *missing), asio::detached);
+    progress.m_startedAt = aNow;
+    asio::co_spawn(m_context, Write(aRollout, *missing, ++progress.m_attempts), asio::detached);
   }
 }
 
@@ -208,7 +213,7 @@
 // One attempt; Review starts the next one if the store still lacks the state. An append whose
 // answer was lost is found by the read of the next attempt, or fails there by its condition.
 Awaitable<void>
-RolloutStatusWriter::Write(Rollout aRollout, RolloutState aState)
+RolloutStatusWriter::Write(Rollout aRollout, RolloutState aState, std::uint64_t aAttempt)
 {
   const std::string topic(adapter::kStatusTopic);
   auto newest = co_await AwaitLogReply<platform::NewestReply>(
@@ -230,9 +235,9 @@
       HandleAppended(aRollout, aState, reply.m_offset);
     }
   }
-  // The service may have a new order by now, whose progress is none of this attempt's.
+  // A newer attempt may be in flight by now, or the service may have a new order.
   Progress& progress = m_progress[aRollout.m_service];
-  if (progress.m_order == aRollout.m_order) {
+  if (progress.m_order == aRollout.m_order && progress.m_attempts == aAttempt) {
     progress.m_inFlight = false;
     Retry(aRollout, moved);
   }
--- a/modules/node/src/RolloutStatusWriter.h
+++ b/modules/node/src/RolloutStatusWriter.h
@@ -45,14 +45,19 @@
     /// The state that the store lacks, and since when.
     std::optional<adapter::RolloutState> m_wanted;
     Instant m_wantedSince;
+    /// Attempts so far; the newest one is in flight since m_startedAt.
+    std::uint64_t m_attempts = 0;
     bool m_inFlight = false;
+    Instant m_startedAt;
     Instant m_retryAt;
     Milliseconds m_backoffMs = 0;
     bool m_overdueLogged = false;
   };
 
   net::Awaitable<void> Follow();
-  net::Awaitable<void> Write(rollout::Rollout aRollout, adapter::RolloutState aState);
+  net::Awaitable<void> Write(rollout::Rollout aRollout,
+                             adapter::RolloutState aState,
+                             std::uint64_t aAttempt);
   bool HandleHeld(const rollout::Rollout& aRollout,
                   adapter::RolloutState aState,
                   const std::vector<platform::KeyedEntry>& aEntries);
