--- a/modules/node/src/CallLinks.cpp
+++ b/modules/node/src/CallLinks.cpp
@@ -418,11 +418,12 @@
 CallLinks::CloseIdle(const RoutingView& aView)
 {
   std::erase_if(m_links, [&](const auto& aItem) {
-    const auto& [node, link] = aItem;
+    const std::string& node = aItem.first;
+    const LinkPtr& link = aItem.second;
     if (link->m_connecting || !link->m_pending.empty()) {
       return false;
     }
-    const auto isNode = [&](const routing::Candidate& aCandidate) {
+    const auto isNode = [&node](const routing::Candidate& aCandidate) {
       return aCandidate.m_node == node;
     };
     const bool isRegular =
--- a/modules/node/src/RolloutStatusWriter.cpp
+++ b/modules/node/src/RolloutStatusWriter.cpp
@@ -20,6 +20,7 @@
 namespace {
 
 constexpr Milliseconds kPollMs = 50;
+constexpr std::size_t kJudges = 2;
 // The second judge writes what the store has lacked for this long.
 constexpr Milliseconds kTakeoverMs = 2000;
 // An attempt without an answer is repeated after this time, so that a lost message does not cost
@@ -61,6 +62,19 @@
   return static_cast<std::size_t>(std::find(judges.begin(), judges.end(), aNode) - judges.begin());
 }
 
+// The rollout has no final state in time, as when no target has the version. The judges say so.
+void
+LogOverdue(const Rollout& aRollout, std::size_t aRank)
+{
+  if (aRank < kJudges) {
+    LogLine(LogLevel::Warning, "rollout_overdue")
+      .Add("service", aRollout.m_service)
+      .Add("version", aRollout.m_version)
+      .Add("order", aRollout.m_order.m_offset)
+      .Add("phase", rollout::NameOf(aRollout.m_phase));
+  }
+}
+
 } // namespace
 
 RolloutStatusWriter::RolloutStatusWriter(asio::io_context& aContext,
@@ -110,15 +124,6 @@
   if (progress.m_order != aRollout.m_order) {
     progress = { .m_order = aRollout.m_order };
   }
-  const bool overdue = !rollout::IsFinal(aRollout.m_phase) && aNow >= aRollout.m_deadline;
-  if (overdue && !progress.m_overdueLogged) {
-    progress.m_overdueLogged = true;
-    LogLine(LogLevel::Warning, "rollout_overdue")
-      .Add("service", aRollout.m_service)
-      .Add("version", aRollout.m_version)
-      .Add("order", aRollout.m_order.m_offset)
-      .Add("phase", rollout::NameOf(aRollout.m_phase));
-  }
   const auto missing = MissingState(aRollout, progress.m_runningStored, aNow);
   if (missing != progress.m_wanted) {
     progress.m_wanted = missing;
@@ -126,6 +131,11 @@
     progress.m_retryAt = {};
     progress.m_backoffMs = 0;
   }
+  const bool overdue = !rollout::IsFinal(aRollout.m_phase) && aNow >= aRollout.m_deadline;
+  if (overdue && !progress.m_overdueLogged) {
+    progress.m_overdueLogged = true;
+    LogOverdue(aRollout, RankAsJudge(aView, aRollout.m_service, m_node));
+  }
   const bool awaitsAnswer = progress.m_inFlight && aNow - progress.m_startedAt < kAttemptMs;
   if (!missing || progress.m_superseded || awaitsAnswer || aNow < progress.m_retryAt) {
     return;
