--- a/modules/rollout/include/Exposure.h
+++ b/modules/rollout/include/Exposure.h
@@ -17,13 +17,6 @@
 
 /// Part of the allowed share that a trial uses, so that retries and rounding stay within it.
 constexpr double kUsedShare = 0.8;
-/// Trials are sent in bursts: nothing for the first two thirds of each cycle since the order, and
-/// this many times the share in the last third. The targets on trial are then as busy as the old
-/// ones also where the share is less than one target's part of the requests, and a version that is
-/// bad only under load shows it. The cycles begin with the order, at about the same time on all
-/// nodes.
-constexpr double kBurstFactor = 3;
-constexpr Milliseconds kBurstCycleMs = 3000;
 
 /// One node's requests for a service since it learnt of the order.
 struct ServiceExposure
--- a/modules/rollout/src/Comparison.cpp
+++ b/modules/rollout/src/Comparison.cpp
@@ -31,7 +31,9 @@
 // Bad answers at the worst target tell of its host if the others, which should have had this many
 // at the same rate, had fewer than the given part of them.
 constexpr double kMinExpectedElsewhere = 3;
-constexpr double kHostPart = 0.2;
+constexpr double kHostPart = 0.3;
+// A single bad answer at the others may be chance.
+constexpr double kMinElsewhere = 2;
 // While the others had too few requests to tell, a sign needs twice the strength.
 constexpr double kUnclearWeight = 0.5;
 
@@ -235,7 +237,7 @@
   const BinCount all = Total(targets);
   const double others = all.m_bad - worst->m_bad;
   const double expected = (all.m_answers - worst->m_answers) * worst->m_bad / worst->m_answers;
-  if (others >= 1 && others >= kHostPart * expected) {
+  if (others >= kMinElsewhere && others >= kHostPart * expected) {
     return Backing::Several;
   }
   return expected >= kMinExpectedElsewhere ? Backing::OneHost : Backing::Unclear;
--- a/modules/rollout/src/Exposure.cpp
+++ b/modules/rollout/src/Exposure.cpp
@@ -1,18 +1,12 @@
 #include "Exposure.h"
 
-#include <algorithm>
-
 namespace sequoiastep::rollout {
 
 namespace {
 
-// Probability by which a request in a burst is tried while the share allows it: a little more than
-// what was saved, which is kBurstFactor times the share.
-constexpr double kPace = 1.25;
-// A route that has more than its part of the trials gives way to the others by this factor.
-constexpr double kYield = 0.5;
-// A short rollout has at least this many cycles.
-constexpr Milliseconds kMinCycles = 3;
+// With this probability a usual route leaves a free trial to a route that is tried less than the
+// others. Only while less than one more trial is free, so that the share is used.
+constexpr double kYield = 0.7;
 
 ServiceExposure&
 CountsOf(Exposure& aExposure, const Rollout& aRollout, Random& aRandom)
@@ -27,27 +21,13 @@
   return counts;
 }
 
+// Several routes: those with more than their part of the trials give way. Chance also breaks the
+// rhythm of routes whose requests take turns.
 bool
-IsInBurst(const Rollout& aRollout, Instant aNow)
-{
-  const Milliseconds cycle = std::min(kBurstCycleMs, aRollout.m_durationMs / kMinCycles);
-  if (cycle <= 0) {
-    return true;
-  }
-  const Milliseconds sinceOrder =
-    std::max<Milliseconds>(aRollout.m_durationMs - (aRollout.m_deadline - aNow), 0);
-  const auto quiet = static_cast<Milliseconds>(static_cast<double>(cycle) * (1 - 1 / kBurstFactor));
-  return sinceOrder % cycle >= quiet;
-}
-
-// Chance also breaks the rhythm of routes whose requests take turns.
-double
-PaceOf(const ServiceExposure& aCounts, std::uint64_t aOfRoute, double aShare, double aFree)
+Yields(const ServiceExposure& aCounts, std::uint64_t aOfRoute, Random& aRandom)
 {
-  const double pace = kBurstFactor * aShare * kPace;
   const std::size_t routes = aCounts.m_trialByRoute.size();
-  const bool yields = routes > 1 && aOfRoute * routes > aCounts.m_trialAttempts && aFree < 1;
-  return yields ? pace * kYield : pace;
+  return routes > 1 && aOfRoute * routes > aCounts.m_trialAttempts && aRandom.Unit() < kYield;
 }
 
 } // namespace
@@ -70,8 +50,7 @@
   }
   const double free = aExposure.m_share * static_cast<double>(counts.m_requests) -
                       static_cast<double>(counts.m_trialAttempts) - counts.m_rounding;
-  if (free < 0 || !IsInBurst(aRollout, aNow) ||
-      aRandom.Unit() >= PaceOf(counts, route->second, aExposure.m_share, free)) {
+  if (free < 0 || (free < 1 && Yields(counts, route->second, aRandom))) {
     return false;
   }
   counts.m_rounding = aRandom.Unit();
--- a/modules/rollout/src/SequentialStatistic.cpp
+++ b/modules/rollout/src/SequentialStatistic.cpp
@@ -25,6 +25,9 @@
 // the highest of all spans doubled the time to find a slow version, as the highest is mostly
 // chance.
 constexpr double kDeviations = 2;
+// In trouble the new version may exceed its usual share by this much more than the old one: when
+// all targets were eight times slower, the cold new ones had up to twice the time-outs.
+constexpr double kTroubleMargin = 1;
 // Keeps the statistic finite.
 constexpr double kMaxStatistic = 1e30;
 
@@ -73,7 +76,8 @@
       const double ofAll = IsAbove(all, usualOfAll) ? Shrunk(all, aFloor) : usualOfAll;
       const BinCount own = Sum(aOld, begin, begin + kSpanBins);
       if (ofAll > usualOfAll || IsAbove(own, usual)) {
-        highest = std::max(highest, Shrunk(own, ofAll));
+        const double share = Shrunk(own, ofAll);
+        highest = std::max(highest, share + kTroubleMargin * (share - usual));
       }
     }
     rates[bin] = std::min(compared ? highest : std::max(highest, kUncomparedRate), kMaxRate);
--- a/modules/rollout/src/VersionSplit.cpp
+++ b/modules/rollout/src/VersionSplit.cpp
@@ -15,9 +15,9 @@
 
 // One bad host among several is no verdict on the version.
 constexpr std::size_t kMinTrialTargets = 2;
-constexpr double kMaxBurstShare = 0.9;
-// Load of the targets on trial in a burst, as a multiple of that of the regular ones. Part of a
-// burst passes until their slots are busy.
+constexpr double kMaxShare = 0.9;
+// Load of the targets on trial as a multiple of that of the regular ones, so that a version that is
+// bad only under load shows it. Rounding to whole targets makes it 1 to 2 from 16 targets on.
 constexpr double kTrialLoad = 1.35;
 
 /// What the targets of a version may be used for.
@@ -312,9 +312,9 @@
   const std::array<std::uint64_t, 2> order{ aRollout.m_order.m_era, aRollout.m_order.m_offset };
   const std::uint64_t seed =
     Hash64({ reinterpret_cast<const char*>(order.data()), sizeof order }, 0);
-  const double inBurst = std::min(aShare * kUsedShare * kBurstFactor, kMaxBurstShare);
+  const double used = std::min(aShare * kUsedShare, kMaxShare);
   const auto byLoad = static_cast<std::size_t>(
-    std::lround(inBurst / (1 - inBurst) * static_cast<double>(aRegular) / kTrialLoad));
+    std::lround(used / (1 - used) * static_cast<double>(aRegular) / kTrialLoad));
   const std::size_t kept = std::min(aTrial.size(), std::max(byLoad, kMinTrialTargets));
   const auto rank = [seed](const routing::Candidate& aCandidate) {
     return std::pair<std::uint64_t, std::string_view>(Hash64(aCandidate.m_node, seed),
