Let two targets on trial take turns where the share loads less than two

Two targets now take turns of 1 s. Signs from one target wait for the other one, up to 40 bad answers.

--- a/modules/rollout/include/VersionSplit.h
+++ b/modules/rollout/include/VersionSplit.h
@@ -48,7 +48,8 @@
   /// Targets for any request.
   std::vector<routing::Candidate> m_regular;
   /// Targets for the requests of a trial: few enough that the share of requests that they get
-  /// loads them like the regular ones.
+  /// loads them a little more than the regular ones. Where it would load less than two, two take
+  /// turns; see m_reviewAt.
   std::vector<routing::Candidate> m_trial;
   /// When the split has to be made again; not set if only changes of its inputs matter.
   std::optional<Instant> m_reviewAt;
--- a/modules/rollout/src/Comparison.cpp
+++ b/modules/rollout/src/Comparison.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 // Counts of a bin are compared when those of the old targets for the same span have come as well.
-constexpr Milliseconds kSettleMs = 200;
+constexpr Milliseconds kSettleMs = 100;
 
 // Errors of a good version are assumed to be at least this share.
 constexpr double kErrorFloor = 0.01;
@@ -34,8 +34,10 @@
 constexpr double kHostPart = 0.3;
 // A single bad answer at the others may be chance.
 constexpr double kMinElsewhere = 2;
-// While the others had too few requests to tell, a sign needs twice the strength.
-constexpr double kUnclearWeight = 0.5;
+// While the others had too few requests to tell, a sign is a doubt at most ...
+constexpr double kUnclearWeight = 0.1;
+// ... unless there are this many bad answers.
+constexpr double kMaxUnclear = 40;
 
 constexpr std::string_view kAllRoutes = "*";
 
@@ -240,7 +242,10 @@
   if (others >= kMinElsewhere && others >= kHostPart * expected) {
     return Backing::Several;
   }
-  return expected >= kMinExpectedElsewhere ? Backing::OneHost : Backing::Unclear;
+  if (expected >= kMinExpectedElsewhere) {
+    return Backing::OneHost;
+  }
+  return worst->m_bad >= kMaxUnclear ? Backing::Several : Backing::Unclear;
 }
 
 struct RouteSeries
--- a/modules/rollout/src/Judge.cpp
+++ b/modules/rollout/src/Judge.cpp
@@ -21,8 +21,9 @@
 
 // A target that reported within this time is heard.
 constexpr Milliseconds kHeardMs = 1500;
-// A target that has just started may be slower for 3 s; its counts come up to 0.5 s later.
-constexpr Milliseconds kColdMs = 3500;
+// A target that has just started may be slower for 3 s from its first request on. Its first count
+// comes as late as the following ones.
+constexpr Milliseconds kColdMs = 3000;
 // A new phase has reached all nodes that can be reached, and what they sent before has arrived.
 constexpr Milliseconds kPhaseSpreadMs = 1000;
 // Two reports of an idle target are this long apart at least.
--- a/modules/rollout/src/SequentialStatistic.cpp
+++ b/modules/rollout/src/SequentialStatistic.cpp
@@ -24,7 +24,7 @@
 // Standard deviations by which a span has to be above the usual share to count as trouble. Taking
 // the highest of all spans doubled the time to find a slow version, as the highest is mostly
 // chance.
-constexpr double kDeviations = 2;
+constexpr double kDeviations = 3;
 // In trouble the new version may exceed its usual share by this much more than the old one: when
 // all targets were eight times slower, the cold new ones had up to twice the time-outs.
 constexpr double kTroubleMargin = 1;
--- a/modules/rollout/src/VersionSplit.cpp
+++ b/modules/rollout/src/VersionSplit.cpp
@@ -15,6 +15,8 @@
 
 // One bad host among several is no verdict on the version.
 constexpr std::size_t kMinTrialTargets = 2;
+// Where the share loads less than two targets, they take turns of this length.
+constexpr Milliseconds kTurnMs = 1000;
 constexpr double kMaxShare = 0.9;
 // Load of the targets on trial as a multiple of that of the regular ones, so that a version that is
 // bad only under load shows it. Rounding to whole targets makes it 1 to 2 from 16 targets on.
@@ -302,12 +304,27 @@
   return {};
 }
 
-// The same few targets on all nodes that know the same targets.
-void
+std::int64_t
+TurnOf(const Rollout& aRollout, Instant aNow)
+{
+  const Instant ordered = aRollout.m_deadline + -aRollout.m_durationMs;
+  return std::max<Milliseconds>(aNow - ordered, 0) / kTurnMs;
+}
+
+Instant
+NextTurn(const Rollout& aRollout, Instant aNow)
+{
+  return aRollout.m_deadline + -aRollout.m_durationMs + (TurnOf(aRollout, aNow) + 1) * kTurnMs;
+}
+
+// Keeps the same few targets on all nodes that know the same targets.
+// @return true if they take turns.
+bool
 KeepFew(std::vector<routing::Candidate>& aTrial,
         std::size_t aRegular,
         const Rollout& aRollout,
-        double aShare)
+        double aShare,
+        Instant aNow)
 {
   const std::array<std::uint64_t, 2> order{ aRollout.m_order.m_era, aRollout.m_order.m_offset };
   const std::uint64_t seed =
@@ -326,6 +343,12 @@
               return rank(aLeft) < rank(aRight);
             });
   aTrial.resize(kept);
+  if (byLoad < kept) { // Both together would be loaded too lightly.
+    const auto turn = static_cast<std::size_t>(TurnOf(aRollout, aNow)) % kept;
+    aTrial = { aTrial[turn] };
+    return true;
+  }
+  return false;
 }
 
 // The next time at which the split changes by itself.
@@ -389,10 +412,12 @@
       split.m_trial.push_back(std::move(candidate));
     }
   }
-  if (!split.m_trial.empty()) {
-    KeepFew(split.m_trial, split.m_regular.size(), *aRollout, aShare);
-  }
   split.m_reviewAt = ReviewAt(aHistory, context);
+  if (!split.m_trial.empty() &&
+      KeepFew(split.m_trial, split.m_regular.size(), *aRollout, aShare, aNow)) {
+    const Instant next = NextTurn(*aRollout, aNow);
+    split.m_reviewAt = std::min(split.m_reviewAt.value_or(next), next);
+  }
   return split;
 }
 
--- a/modules/rollout/tests/FakeRollout.h
+++ b/modules/rollout/tests/FakeRollout.h
@@ -72,6 +72,8 @@
   std::uint64_t m_toNew = 0;
   /// Most requests that the new version ever had beyond a tenth of those until then.
   double m_mostBeyondShare = 0;
+  /// Requests that the new version had beyond a tenth of those from the order to the deadline.
+  double m_beyondShare = 0;
   /// Requests in progress at old targets when the judge called the rollout complete.
   int m_atOldWhenCompleted = 0;
   Milliseconds m_durationMs = 0;
