--- a/modules/rollout/src/Comparison.cpp
+++ b/modules/rollout/src/Comparison.cpp
@@ -34,9 +34,9 @@
 constexpr double kHostPart = 0.3;
 // A single bad answer at the others may be chance.
 constexpr double kMinElsewhere = 2;
-// While the others had too few requests to tell, a sign is a doubt at most ...
-constexpr double kUnclearWeight = 0.1;
-// ... unless there are this many bad answers.
+// While the others had too few requests to tell, a sign is a doubt at most: it keeps the version
+// from being called good, but does not roll it back, unless there are kMaxUnclear bad answers.
+constexpr double kUnclearStrength = 10;
 constexpr double kMaxUnclear = 40;
 
 constexpr std::string_view kAllRoutes = "*";
@@ -299,9 +299,11 @@
       return;
     }
     const Backing backing = BackingOf(aJudge, aRollout, aKind, aFound.m_route);
-    aFound.m_strength *= backing == Backing::Several   ? 1
-                         : backing == Backing::Unclear ? kUnclearWeight
-                                                       : 0;
+    if (backing == Backing::Unclear) {
+      aFound.m_strength = std::min(aFound.m_strength, kUnclearStrength);
+    } else if (backing == Backing::OneHost) {
+      return;
+    }
     if (aFound.m_strength > aStrongest.m_strength) {
       aStrongest = std::move(aFound);
     }
--- a/modules/rollout/src/Judge.cpp
+++ b/modules/rollout/src/Judge.cpp
@@ -32,7 +32,7 @@
 // Logarithm of the statistic from which the version is bad. With 100 bins, four routes, two kinds
 // of fault and the sum over all routes the false rollbacks are at most 100 x 10 x exp(-12) = 0.6 %.
 constexpr double kBadStrength = 12;
-// From here on the version is not called good.
+// From here on the version is not called good. Below kUnclearStrength.
 constexpr double kDoubtStrength = 8;
 
 RouteCounts
--- a/modules/rollout/tests/EvidenceTest.cpp
+++ b/modules/rollout/tests/EvidenceTest.cpp
@@ -104,6 +104,7 @@
 TEST_CASE("Evidence: judges are the same for any order of the nodes and spread over them")
 {
   std::vector<std::string> nodes;
+  nodes.reserve(80);
   for (int node = 0; node < 80; ++node) {
     nodes.push_back("node-" + std::to_string(node));
   }
--- a/modules/rollout/tests/JudgeTest.cpp
+++ b/modules/rollout/tests/JudgeTest.cpp
@@ -218,6 +218,34 @@
   CHECK(Decide(enough, Order(), plan, many, kNow + 6'500).m_verdict == Verdict::Continue);
 }
 
+// Guards against a version that is called good because the only target that shows its errors might
+// have a bad host.
+TEST_CASE("Judge: errors of one target that no other one can confirm are a doubt")
+{
+  const RolloutPlan plan = MakePlan(Order(), 2'200);
+  const std::vector<std::string> old{ "old" };
+  const auto judge = [&](std::uint32_t aOther, std::uint32_t aErrors, Instant aNow) {
+    Judge judge;
+    std::uint32_t sequence = 0;
+    for (Instant now = kNow; now <= aNow; now = now + 200) {
+      ++sequence;
+      AddEvidence(judge, Order(), Report("old", "v1", sequence, sequence * 20), now);
+      AddEvidence(
+        judge, Order(), Report("new-1", "v2", sequence, sequence * 2, sequence * aErrors), now);
+      AddEvidence(judge, Order(), Report("new-2", "v2", sequence, sequence * aOther), now);
+    }
+    return Decide(judge, Order(), plan, old, aNow).m_verdict;
+  };
+  // The other target has no requests.
+  CHECK(judge(0, 1, kNow + 3'000) == Verdict::Continue);
+  CHECK(judge(0, 1, kNow + 6'400) == Verdict::Continue);
+  CHECK(judge(0, 1, kNow + 9'000) == Verdict::RollBack);
+  CHECK(judge(0, 2, kNow + 6'000) == Verdict::RollBack);
+  // The other target has as many, and no errors.
+  CHECK(judge(2, 1, kNow + 3'000) == Verdict::Continue);
+  CHECK(judge(2, 1, kNow + 6'400) == Verdict::Shift);
+}
+
 // Guards against old targets that are stopped with requests in progress.
 TEST_CASE("Judge: completes only when all old targets reported twice that they are idle")
 {
