--- a/modules/rollout/tests/ExposureTest.cpp
+++ b/modules/rollout/tests/ExposureTest.cpp
@@ -108,9 +108,9 @@
       rare.Request(node, rare.m_random.Below(20) == 0 ? "rare" : "usual");
     }
     CHECK(turns.m_trialsByRoute.size() == 25);
-    for (const auto& [route, trials] : turns.m_trialsByRoute) {
-      CAPTURE(route);
-      CHECK(trials >= 4);
+    for (const auto& entry : turns.m_trialsByRoute) {
+      CAPTURE(entry.first);
+      CHECK(entry.second >= 4);
     }
     CHECK(rare.m_trialsByRoute["rare"] >= 8);
   }
--- a/modules/rollout/tests/VersionSplitTest.cpp
+++ b/modules/rollout/tests/VersionSplitTest.cpp
@@ -15,6 +15,7 @@
 Targets(std::string_view aVersion, int aCount)
 {
   std::vector<routing::Candidate> targets;
+  targets.reserve(static_cast<std::size_t>(aCount));
   for (int index = 0; index < aCount; ++index) {
     targets.push_back({ .m_node = std::string(aVersion) + "-" + std::to_string(index),
                         .m_version = std::string(aVersion) });
