--- a/modules/rollout/include/Exposure.h
+++ b/modules/rollout/include/Exposure.h
@@ -15,6 +15,9 @@
 
 namespace sequoiastep::rollout {
 
+/// Part of the allowed share that a trial uses, so that retries and rounding stay within it.
+constexpr double kUsedShare = 0.8;
+
 /// One node's requests for a service since it learnt of the order.
 struct ServiceExposure
 {
@@ -24,9 +27,10 @@
   std::uint64_t m_trialAttempts = 0;
   /// Attempts on trial by route, so that each route is covered.
   std::map<std::string, std::uint64_t, std::less<>> m_trialByRoute;
-  /// Random part of a request, drawn once, that is added before the allowed attempts are rounded
-  /// down. The attempts of all nodes together then have the share as their expected value from the
-  /// first request on, though each node sends only few requests.
+  /// Part of a trial, drawn anew for each, by which the next one waits until the share allows it.
+  /// The attempts of all nodes together then have the share as their expected value from the first
+  /// request on, though each node sends only few requests; one node never exceeds its share by more
+  /// than one attempt.
   double m_rounding = 0;
 };
 
--- a/modules/rollout/src/Judge.cpp
+++ b/modules/rollout/src/Judge.cpp
@@ -21,8 +21,9 @@
 
 // A target that reported within this time is heard.
 constexpr Milliseconds kHeardMs = 1500;
-// A target that has just started may be slower for 3 s; its counts come up to 0.5 s later.
-constexpr Milliseconds kColdMs = 3500;
+// A target that has just started may be slower for 3 s from its first request on. Its first count
+// comes as late as the following ones.
+constexpr Milliseconds kColdMs = 3000;
 // A new phase has reached all nodes that can be reached, and what they sent before has arrived.
 constexpr Milliseconds kPhaseSpreadMs = 1000;
 // Two reports of an idle target are this long apart at least.
@@ -31,7 +32,7 @@
 // Logarithm of the statistic from which the version is bad. With 100 bins, four routes, two kinds
 // of fault and the sum over all routes the false rollbacks are at most 100 x 10 x exp(-12) = 0.6 %.
 constexpr double kBadStrength = 12;
-// From here on the version is not called good.
+// From here on the version is not called good. Below kUnclearStrength.
 constexpr double kDoubtStrength = 8;
 
 RouteCounts
@@ -204,8 +205,14 @@
 }
 
 Judgement
-JudgeShift(const Judge& aJudge, const std::vector<std::string>& aOldTargets, Instant aNow)
+JudgeShift(const Judge& aJudge,
+           const RolloutPlan& aPlan,
+           const std::vector<std::string>& aOldTargets,
+           Instant aNow)
 {
+  if (aNow < aPlan.m_completeFrom) {
+    return { .m_verdict = Verdict::Continue, .m_reason = "waits=watch" };
+  }
   if (!aJudge.m_shiftedAt || aNow - *aJudge.m_shiftedAt < kPhaseSpreadMs) {
     return { .m_verdict = Verdict::Continue, .m_reason = "waits=phase" };
   }
@@ -269,6 +276,7 @@
   plan.m_writeBy = aRollout.m_deadline + -kWriteMs;
   plan.m_verdictBy = plan.m_writeBy + -finish;
   plan.m_verdictFrom = plan.m_verdictBy + -(aRollout.m_durationMs / kVerdictPart);
+  plan.m_completeFrom = plan.m_writeBy + -(aRollout.m_durationMs / kVerdictPart);
   plan.m_lastVerdict = plan.m_verdictBy + finish / 4;
   return plan;
 }
@@ -283,8 +291,11 @@
     aJudge = { .m_order = aRollout.m_order };
   }
   const OrderId order{ .m_era = aEvidence.order_era, .m_offset = aEvidence.order_offset };
+  if (order != aRollout.m_order) {
+    return;
+  }
   TargetHistory& target = aJudge.m_targets[aEvidence.node];
-  if (order != aRollout.m_order || IsOutdated(target, aEvidence)) {
+  if (IsOutdated(target, aEvidence)) {
     return;
   }
   if (aRollout.m_phase == RolloutPhase::Shifting && !aJudge.m_shiftedAt) {
@@ -321,7 +332,7 @@
     return { .m_verdict = Verdict::RollBack, .m_reason = Describe(suspicion) };
   }
   if (aRollout.m_phase == RolloutPhase::Shifting) {
-    return JudgeShift(aJudge, aOldTargets, aNow);
+    return JudgeShift(aJudge, aPlan, aOldTargets, aNow);
   }
   return JudgeTrial(aJudge, aRollout, aPlan, aOldTargets, suspicion, aNow);
 }
