Forward the earlier deadline of a rollout that a peer knows

Cause: the table now takes the earliest deadline silently, so a node that had learnt a later one from the store would not have passed the correction on to those that have it from this node; a share and the counting of timeouts were stated twice. Change: the deadline held before a merge is compared; rollout::kUsedShare is used; an answer that did not come in time counts as an error, as the header of RecordAnswer says.

--- a/modules/distribution/src/ControllerRollouts.cpp
+++ b/modules/distribution/src/ControllerRollouts.cpp
@@ -71,22 +71,13 @@
   return result;
 }
 
-// Takes over the earlier deadline of the same order. Returns true if the peer's one is later by
-// more than the tolerance, so that it needs this node's entry.
-bool
-MergeDeadline(StepContext& aContext, const Rollout& aEntry)
+// The deadline that this node holds for the order of aEntry, if it knows the order.
+std::optional<Instant>
+HeldDeadline(const Controller& aController, const Rollout& aEntry)
 {
-  Controller& controller = aContext.m_controller;
-  const auto held = controller.m_rollouts.m_services.find(aEntry.m_service);
-  if (held == controller.m_rollouts.m_services.end() || held->second.m_order != aEntry.m_order) {
-    return false;
-  }
-  const Milliseconds later = aEntry.m_deadline - held->second.m_deadline;
-  if (later < -kDeadlineToleranceMs) {
-    held->second.m_deadline = aEntry.m_deadline;
-    controller.m_changedRollouts.insert(aEntry.m_service);
-  }
-  return later > kDeadlineToleranceMs && !rollout::IsFinal(held->second.m_phase);
+  const Rollout* held = rollout::FindRollout(aController.m_rollouts, aEntry.m_service);
+  return held != nullptr && held->m_order == aEntry.m_order ? std::optional(held->m_deadline)
+                                                            : std::nullopt;
 }
 
 // A store that was restored from a copy names an order again in a new era. What is known of it
@@ -170,11 +161,16 @@
       continue;
     }
     const Rollout entry = rollout::FromWire(*wireEntry, aContext.m_now);
+    const Instant before = HeldDeadline(controller, entry).value_or(entry.m_deadline);
     const MergeResult result = MergeEntry(aContext, entry, "told by a peer", aNode);
-    const bool needsDeadline = MergeDeadline(aContext, entry);
+    const Rollout& held = *rollout::FindRollout(controller.m_rollouts, entry.m_service);
+    if (before - entry.m_deadline > kDeadlineToleranceMs) {
+      controller.m_changedRollouts.insert(entry.m_service);
+    }
+    const bool needsDeadline =
+      entry.m_deadline - before > kDeadlineToleranceMs && !rollout::IsFinal(held.m_phase);
     if ((result == MergeResult::Older || needsDeadline) && !aUpdate.reply_wanted) {
-      reply.entries.push_back(
-        MakeEntry(*rollout::FindRollout(controller.m_rollouts, entry.m_service), aContext.m_now));
+      reply.entries.push_back(MakeEntry(held, aContext.m_now));
     }
   }
   if (aUpdate.reply_wanted) {
--- a/modules/distribution/tests/RolloutReplicationTest.cpp
+++ b/modules/distribution/tests/RolloutReplicationTest.cpp
@@ -2,6 +2,7 @@
 // outlive restarts, partitions and lost messages.
 #include "FakeMesh.h"
 
+#include <algorithm>
 #include <doctest/doctest.h>
 
 using namespace sequoiastep;
@@ -129,7 +130,10 @@
   running.Order("n2", kOrder, false);
   REQUIRE(running.AllHoldWithin(RolloutPhase::Trial, kRepairLimitMs));
   const auto deadlineKnown = [&] {
-    return running.Held("n2")->m_deadline - running.Held("n3")->m_deadline < 500;
+    const auto& nodes = running.m_mesh.Nodes();
+    return std::all_of(nodes.begin(), nodes.end(), [&](const auto& aNode) {
+      return running.Held(aNode.first)->m_deadline - running.Held("n3")->m_deadline < 500;
+    });
   };
   CHECK(running.m_mesh.RunUntil(deadlineKnown, kRepairLimitMs));
   running.m_mesh.Kill("n2");
--- a/modules/node/src/ControlPlane.cpp
+++ b/modules/node/src/ControlPlane.cpp
@@ -1,6 +1,7 @@
 #include "ControlPlane.h"
 
 #include "Address.h"
+#include "Exposure.h"
 #include "Log.h"
 #include "Problem.h"
 #include "StoreCalls.h"
@@ -19,8 +20,6 @@
 namespace {
 
 constexpr std::size_t kMailboxCapacity = 4096;
-// Part of the share in the settings that is used, since requests end after they are counted.
-constexpr double kTrialShareUsed = 0.8;
 
 distribution::ControllerOptions
 MakeControllerOptions(const Settings& aSettings, std::uint64_t aIncarnation)
@@ -343,7 +342,8 @@
     m_shared.m_snapshot.store(config::MakeSnapshot(*m_controller->m_replay, m_settings.m_region));
   }
   if (m_settings.m_rollouts) {
-    m_rolloutViews = RolloutViews{ .m_share = m_settings.m_rollouts->m_share * kTrialShareUsed };
+    m_rolloutViews =
+      RolloutViews{ .m_share = m_settings.m_rollouts->m_share * rollout::kUsedShare };
     m_statusWriter = std::make_unique<RolloutStatusWriter>(
       m_context, *m_log, m_shared, m_settings.m_node, [this](Event aEvent) {
         Feed(std::move(aEvent));
--- a/modules/node/src/RolloutCalls.cpp
+++ b/modules/node/src/RolloutCalls.cpp
@@ -15,8 +15,6 @@
 
 namespace {
 
-// Part of the share in the settings that is used, since requests end after they are counted.
-constexpr double kTrialShareUsed = 0.8;
 // A target whose version is replaced takes requests for this long after its node learnt of it:
 // other nodes may learn a little later, and would find no target at all.
 constexpr Milliseconds kReplacedGraceMs = 700;
@@ -33,12 +31,11 @@
   return active ? &found->second.m_rollout : nullptr;
 }
 
-// A connection that broke counts as an error of the target. A timeout does not, since the caller's
-// deadline may have been short; its run time counts.
+// A connection that broke and an answer that did not come in time count as errors of the target.
 bool
 IsFailure(const AnswerT& aAnswer)
 {
-  return IsServerError(aAnswer) || (aAnswer.outcome == CallOutcome::Unknown && !aAnswer.timed_out);
+  return IsServerError(aAnswer) || aAnswer.outcome == CallOutcome::Unknown;
 }
 
 bool
@@ -65,7 +62,7 @@
                  },
                .m_notifyControl = m_hooks.m_notifyControl })
 {
-  m_exposure.m_share = aSettings.m_share * kTrialShareUsed;
+  m_exposure.m_share = aSettings.m_share * rollout::kUsedShare;
 }
 
 const ServiceRollout*
