--- a/modules/node/src/CallLinks.cpp
+++ b/modules/node/src/CallLinks.cpp
@@ -508,12 +508,13 @@
   std::erase_if(m_silentNodes,
                 [](const auto& aItem) { return Clock::Now() - aItem.second > kSilentNodeMs; });
   std::erase_if(m_links, [&](const auto& aItem) {
-    const auto& [node, link] = aItem;
+    const std::string& node = aItem.first;
+    const LinkPtr& link = aItem.second;
     const bool asked = link->m_askedAt && Clock::Now() - *link->m_askedAt < kAskLinkIdleMs;
     if (link->m_connecting || !link->m_pending.empty() || asked) {
       return false;
     }
-    const auto isNode = [&](const routing::Candidate& aCandidate) {
+    const auto isNode = [&node](const routing::Candidate& aCandidate) {
       return aCandidate.m_node == node;
     };
     const bool isRegular =
--- a/modules/rollout/src/Comparison.cpp
+++ b/modules/rollout/src/Comparison.cpp
@@ -12,7 +12,7 @@
 namespace {
 
 // Counts of a bin are compared when those of the old targets for the same span have come as well.
-constexpr Milliseconds kSettleMs = 200;
+constexpr Milliseconds kSettleMs = 100;
 
 // Errors of a good version are assumed to be at least this share.
 constexpr double kErrorFloor = 0.01;
@@ -31,9 +31,13 @@
 // Bad answers at the worst target tell of its host if the others, which should have had this many
 // at the same rate, had fewer than the given part of them.
 constexpr double kMinExpectedElsewhere = 3;
-constexpr double kHostPart = 0.2;
-// While the others had too few requests to tell, a sign needs twice the strength.
-constexpr double kUnclearWeight = 0.5;
+constexpr double kHostPart = 0.3;
+// A single bad answer at the others may be chance.
+constexpr double kMinElsewhere = 2;
+// While the others had too few requests to tell, a sign is a doubt at most: it keeps the version
+// from being called good, but does not roll it back, unless there are kMaxUnclear bad answers.
+constexpr double kUnclearStrength = 10;
+constexpr double kMaxUnclear = 40;
 
 constexpr std::string_view kAllRoutes = "*";
 
@@ -235,10 +239,13 @@
   const BinCount all = Total(targets);
   const double others = all.m_bad - worst->m_bad;
   const double expected = (all.m_answers - worst->m_answers) * worst->m_bad / worst->m_answers;
-  if (others >= 1 && others >= kHostPart * expected) {
+  if (others >= kMinElsewhere && others >= kHostPart * expected) {
     return Backing::Several;
   }
-  return expected >= kMinExpectedElsewhere ? Backing::OneHost : Backing::Unclear;
+  if (expected >= kMinExpectedElsewhere) {
+    return Backing::OneHost;
+  }
+  return worst->m_bad >= kMaxUnclear ? Backing::Several : Backing::Unclear;
 }
 
 struct RouteSeries
@@ -292,9 +299,11 @@
       return;
     }
     const Backing backing = BackingOf(aJudge, aRollout, aKind, aFound.m_route);
-    aFound.m_strength *= backing == Backing::Several   ? 1
-                         : backing == Backing::Unclear ? kUnclearWeight
-                                                       : 0;
+    if (backing == Backing::Unclear) {
+      aFound.m_strength = std::min(aFound.m_strength, kUnclearStrength);
+    } else if (backing == Backing::OneHost) {
+      return;
+    }
     if (aFound.m_strength > aStrongest.m_strength) {
       aStrongest = std::move(aFound);
     }
--- a/modules/rollout/src/Judge.cpp
+++ b/modules/rollout/src/Judge.cpp
@@ -21,8 +21,9 @@
 
 // A target that reported within this time is heard.
 constexpr Milliseconds kHeardMs = 1500;
-// A target that has just started may be slower for 3 s; its counts come up to 0.5 s later.
-constexpr Milliseconds kColdMs = 3500;
+// A target that has just started may be slower for 3 s from its first request on. Its first count
+// comes as late as the following ones.
+constexpr Milliseconds kColdMs = 3000;
 // A new phase has reached all nodes that can be reached, and what they sent before has arrived.
 constexpr Milliseconds kPhaseSpreadMs = 1000;
 // Two reports of an idle target are this long apart at least.
@@ -31,7 +32,7 @@
 // Logarithm of the statistic from which the version is bad. With 100 bins, four routes, two kinds
 // of fault and the sum over all routes the false rollbacks are at most 100 x 10 x exp(-12) = 0.6 %.
 constexpr double kBadStrength = 12;
-// From here on the version is not called good.
+// From here on the version is not called good. Below kUnclearStrength.
 constexpr double kDoubtStrength = 8;
 
 RouteCounts
