--- a/modules/node/src/QuotaClient.cpp
+++ b/modules/node/src/QuotaClient.cpp
@@ -27,6 +27,7 @@
 // Fewer silent nodes may have crashed or be restarting, which the member list shows soon.
 constexpr std::size_t kSilentNodesToCount = 3;
 constexpr double kPercent = 100;
+constexpr std::string_view kOtherLabel = "other";
 constexpr std::string_view kExhausted = "the workspace's quota is used up";
 constexpr std::string_view kOwnerSilent =
   "the owner of the workspace's quota can't be reached, and this node's share is used up";
@@ -120,7 +121,7 @@
 {
   std::vector<const config::Workspace*> workspaces;
   for (const auto& [name, workspace] : aTable.m_byName) {
-    if (config::HasQuota(workspace)) {
+    if (config::HasQuota(workspace) && name != kOtherLabel) {
       workspaces.push_back(&workspace);
     }
   }
@@ -201,6 +202,13 @@
   quota::SetLimits(m_owner, limits, aNow);
   m_largest = LargestOf(table);
   std::erase_if(m_answeredAt, [&](const auto& aItem) { return !limits.contains(aItem.first); });
+  std::erase_if(m_counts, [&](const auto& aItem) {
+    const bool removed = !limits.contains(aItem.first);
+    if (removed) {
+      AddCounts(m_removedCounts, aItem.second);
+    }
+    return removed;
+  });
   LogOwned();
 }
 
@@ -425,7 +433,7 @@
   if (!m_enabled) {
     return;
   }
-  QuotaCounts others;
+  QuotaCounts others = m_removedCounts;
   for (const auto& [workspace, counts] : m_counts) {
     if (m_largest.contains(workspace)) {
       AppendCounts(aText, workspace, counts);
@@ -433,7 +441,7 @@
       AddCounts(others, counts);
     }
   }
-  AppendCounts(aText, "other", others);
+  AppendCounts(aText, kOtherLabel, others);
   aText += fmt::format("sequoiastep_quotas_owned {}\n", m_loggedOwned);
   aText += fmt::format("sequoiastep_quota_heard_share {:.3f}\n", m_owner.m_share);
 }
--- a/modules/node/src/QuotaClient.h
+++ b/modules/node/src/QuotaClient.h
@@ -103,6 +103,8 @@
   /// Timers of requests that wait for an ask, by its id in m_stock.
   std::map<std::uint64_t, std::set<net::asio::steady_timer*>> m_waiting;
   std::map<std::string, QuotaCounts, std::less<>> m_counts;
+  /// Of workspaces that the configuration no longer has.
+  QuotaCounts m_removedCounts;
   /// Workspaces with the largest quotas; metrics have them by name.
   std::set<std::string, std::less<>> m_largest;
   /// When an owner last answered an ask about the workspace.
--- a/modules/quota/include/Stock.h
+++ b/modules/quota/include/Stock.h
@@ -52,6 +52,11 @@
   /// Requests per second lately; decays.
   double m_demandPerSecond = 0;
   Instant m_demandAt;
+  /// Admitted requests per second lately; decays.
+  double m_admittedPerSecond = 0;
+  Instant m_admittedAt;
+  /// Time until which refused requests were told to wait.
+  Instant m_roomAt;
   std::optional<OpenAsk> m_ask;
   /// Requests that wait for the ask.
   std::uint32_t m_waiting = 0;
--- a/modules/quota/src/Stock.cpp
+++ b/modules/quota/src/Stock.cpp
@@ -15,6 +15,7 @@
 constexpr double kAheadShare = 0.6;
 constexpr Milliseconds kIdleMs = 60'000;
 constexpr Milliseconds kMinRetryAfterMs = 20;
+constexpr Milliseconds kMaxRetryAfterMs = 2000;
 
 StockEntry&
 EntryOf(Stock& aStock, std::string_view aWorkspace)
@@ -29,13 +30,34 @@
   return entry;
 }
 
+// Value at aNow of an average of events per second that was aAverage at aAt.
+double
+Decayed(double aAverage, Instant aAt, Instant aNow)
+{
+  const auto elapsed = static_cast<double>(std::max<Milliseconds>(0, aNow - aAt));
+  return aAverage * std::exp(-elapsed / kDemandMs);
+}
+
 void
-RecordDemand(StockEntry& aEntry, Instant aNow)
+RecordEvent(double& aAverage, Instant& aAt, Instant aNow)
+{
+  aAverage = Decayed(aAverage, aAt, aNow) + kMillisecondsPerSecond / kDemandMs;
+  aAt = aNow;
+}
+
+// Refused requests are told to return one after the other, at the rate at which this node admits
+// requests. If all returned when the owner has its next token, most would be refused again.
+TakeResult
+Refuse(const Stock& aStock, StockEntry& aEntry, const Limits& aLimits, Instant aUntil, Instant aNow)
 {
-  const auto elapsed = static_cast<double>(std::max<Milliseconds>(0, aNow - aEntry.m_demandAt));
-  aEntry.m_demandPerSecond *= std::exp(-elapsed / kDemandMs);
-  aEntry.m_demandPerSecond += kMillisecondsPerSecond / kDemandMs;
-  aEntry.m_demandAt = aNow;
+  const double share =
+    aLimits.m_ratePerSecond / static_cast<double>(std::max<std::size_t>(1, aStock.m_knownNodes));
+  const double admitted = Decayed(aEntry.m_admittedPerSecond, aEntry.m_admittedAt, aNow);
+  const double rate = std::max({ share, admitted, kMillisecondsPerSecond / kMaxRetryAfterMs });
+  const Instant first = std::max({ aEntry.m_roomAt, aUntil, aNow + kMinRetryAfterMs });
+  const auto gap = static_cast<Milliseconds>(kMillisecondsPerSecond / rate);
+  aEntry.m_roomAt = std::min(first + gap, aNow + kMaxRetryAfterMs);
+  return { .m_kind = TakeKind::Refuse, .m_retryAfterMs = aEntry.m_roomAt - aNow };
 }
 
 // Takes a token that expires first. Returns nothing if there is none.
@@ -130,11 +152,12 @@
   Observe(aStock, aNow);
   StockEntry& entry = EntryOf(aStock, aWorkspace);
   if (aFor == TakeFor::NewRequest) {
-    RecordDemand(entry, aNow);
+    RecordEvent(entry.m_demandPerSecond, entry.m_demandAt, aNow);
   } else if (entry.m_waiting > 0) {
     --entry.m_waiting;
   }
   if (const auto expiresAt = TakeFromBatches(entry, aNow)) {
+    RecordEvent(entry.m_admittedPerSecond, entry.m_admittedAt, aNow);
     return { .m_kind = TakeKind::Admit, .m_expiresAt = *expiresAt };
   }
   if (entry.m_ask) {
@@ -145,12 +168,10 @@
     if (TakeFromFloor(aStock, entry, aLimits, aNow)) {
       return { .m_kind = TakeKind::AdmitFloor, .m_expiresAt = aNow };
     }
-    return { .m_kind = TakeKind::Refuse,
-             .m_retryAfterMs = std::max(kMinRetryAfterMs, entry.m_silentUntil - aNow) };
+    return Refuse(aStock, entry, aLimits, entry.m_silentUntil, aNow);
   }
   if (aNow < entry.m_refuseUntil) {
-    return { .m_kind = TakeKind::Refuse,
-             .m_retryAfterMs = std::max(kMinRetryAfterMs, entry.m_refuseUntil - aNow) };
+    return Refuse(aStock, entry, aLimits, entry.m_refuseUntil, aNow);
   }
   return Ask(aStock, entry, aNow);
 }
