Forget silent nodes also where quotas are off; faster quota plays

Cause: the record of unreachable nodes was pruned only with quotas on; the plays copied each event once more than needed. Change: it is pruned with idle links. Events of the plays are moved.

--- a/modules/node/src/CallLinks.cpp
+++ b/modules/node/src/CallLinks.cpp
@@ -318,11 +318,17 @@
   }
 }
 
-LinkSample
-CallLinks::Sample(Instant aNow)
+void
+CallLinks::ForgetSilentNodes(Instant aNow)
 {
   std::erase_if(m_silentNodes,
                 [&](const auto& aItem) { return aNow - aItem.second > kSilentNodeMs; });
+}
+
+LinkSample
+CallLinks::Sample(Instant aNow)
+{
+  ForgetSilentNodes(aNow);
   const auto heard = std::count_if(m_links.begin(), m_links.end(), [&](const auto& aItem) {
     return aItem.second->m_connection && !m_silentNodes.contains(aItem.first);
   });
@@ -489,6 +495,7 @@
 void
 CallLinks::CloseIdle(const RoutingView& aView)
 {
+  ForgetSilentNodes(Clock::Now());
   std::erase_if(m_links, [&](const auto& aItem) {
     const auto& [node, link] = aItem;
     const bool asked = link->m_askedAt && Clock::Now() - *link->m_askedAt < kAskLinkIdleMs;
--- a/modules/node/src/CallLinks.h
+++ b/modules/node/src/CallLinks.h
@@ -96,6 +96,7 @@
   void Receive(const LinkPtr& aLink, wire::EnvelopeT aMessage);
   static void ReceiveGrant(Link& aLink, const wire::QuotaGrantT& aGrant);
   void StartLivenessLoop();
+  void ForgetSilentNodes(Instant aNow);
   void HandleClosed(const LinkPtr& aLink, const std::string& aNode);
   net::Awaitable<void> WaitForWake(LinkPtr aLink, Milliseconds aMaxMs);
   static void WakeWaiters(Link& aLink);
--- a/modules/quota/tests/QuotaPlay.h
+++ b/modules/quota/tests/QuotaPlay.h
@@ -15,7 +15,6 @@
 #include <functional>
 #include <map>
 #include <memory>
-#include <queue>
 #include <string>
 #include <utility>
 #include <vector>
@@ -119,9 +118,10 @@
   void RunTo(Milliseconds aAfterStartMs)
   {
     const Instant end = kPlayStart + aAfterStartMs;
-    while (!m_events.empty() && m_events.top().m_at <= end) {
-      const Event event = m_events.top();
-      m_events.pop();
+    while (!m_events.empty() && m_events.front().m_at <= end) {
+      std::pop_heap(m_events.begin(), m_events.end());
+      const Event event = std::move(m_events.back());
+      m_events.pop_back();
       m_now = event.m_at;
       event.m_action();
     }
@@ -256,7 +256,7 @@
     std::function<void()> m_action;
     bool operator<(const Event& aOther) const
     {
-      return std::pair(m_at, m_order) > std::pair(aOther.m_at, aOther.m_order);
+      return m_at != aOther.m_at ? m_at > aOther.m_at : m_order > aOther.m_order;
     }
   };
 
@@ -283,7 +283,8 @@
 
   void Schedule(Instant aAt, std::function<void()> aAction)
   {
-    m_events.push({ aAt, m_order++, std::move(aAction) });
+    m_events.push_back({ aAt, m_order++, std::move(aAction) });
+    std::push_heap(m_events.begin(), m_events.end());
   }
 
   // Runs on a node after a delay, later if it is paused then, never if it ends before.
@@ -502,7 +503,8 @@
   Instant m_now = kPlayStart;
   std::vector<Node> m_nodes;
   std::map<std::string, std::size_t, std::less<>> m_index;
-  std::priority_queue<Event> m_events;
+  /// A heap, earliest first.
+  std::vector<Event> m_events;
   std::uint64_t m_order = 0;
   std::uint64_t m_version = 0;
   std::vector<double> m_clock;
