--- a/modules/node/src/CallLinks.cpp
+++ b/modules/node/src/CallLinks.cpp
@@ -334,11 +334,17 @@
   }
 }
 
-LinkSample
-CallLinks::Sample(Instant aNow)
+void
+CallLinks::ForgetSilentNodes(Instant aNow)
 {
   std::erase_if(m_silentNodes,
                 [&](const auto& aItem) { return aNow - aItem.second > kSilentNodeMs; });
+}
+
+LinkSample
+CallLinks::Sample(Instant aNow)
+{
+  ForgetSilentNodes(aNow);
   const auto heard = std::count_if(m_links.begin(), m_links.end(), [&](const auto& aItem) {
     return aItem.second->m_connection && !m_silentNodes.contains(aItem.first);
   });
@@ -505,8 +511,7 @@
 void
 CallLinks::CloseIdle(const RoutingView& aView)
 {
-  std::erase_if(m_silentNodes,
-                [](const auto& aItem) { return Clock::Now() - aItem.second > kSilentNodeMs; });
+  ForgetSilentNodes(Clock::Now());
   std::erase_if(m_links, [&](const auto& aItem) {
     const std::string& node = aItem.first;
     const LinkPtr& link = aItem.second;
