Expect of a target its usual load when its latest report is old

Cause: a reported load was taken to drain as if nobody sent any more, so each target looked idle to the nodes that had not heard of it for longest. Change: the reader averages the reported loads over time; the latest report gives way to that average within a run, and the average counts for 2 s. In other regions, targets of unknown load count less as idle ones. A pick looks each target up once. No new field or message.

--- a/modules/routing/bench/BalanceBench.cpp
+++ b/modules/routing/bench/BalanceBench.cpp
@@ -75,6 +75,10 @@
   for (const double load : { 0.1, 0.5, 0.8, 0.95, 1.0, 1.2, 2.0 }) {
     Print(fmt::format("{} x", load), { .m_load = load, .m_trueLoads = aTrueLoads });
   }
+  for (const std::size_t nodes : { 300, 1200 }) {
+    Print(fmt::format("0.8 x, {} nodes", nodes),
+          { .m_nodes = nodes, .m_load = 0.8, .m_trueLoads = aTrueLoads });
+  }
   Print("0.8 x, burst of 1.7", { .m_load = 0.8, .m_burst = 1.7, .m_trueLoads = aTrueLoads });
   Print("0.6 x, a third gone", { .m_load = 0.6, .m_goneAtMs = 4000, .m_trueLoads = aTrueLoads });
   Print("0.6 x, a third cold", { .m_load = 0.6, .m_coldAtMs = 4000, .m_trueLoads = aTrueLoads });
--- a/modules/routing/include/Picker.h
+++ b/modules/routing/include/Picker.h
@@ -2,6 +2,13 @@
 /// Picks the target for a call by its estimated cost: round-trip time, queueing delay, the target's
 /// speed, and the transfer cost of the bytes between failure domains and regions. It relies only on
 /// what was observed on calls.
+///
+/// Reports of a target's load are old when they are used, and others send to it meanwhile. So the
+/// load is taken to go from the latest report back to the target's usual load, within the time of a
+/// run. Load that this answers (BalanceTest): 90 nodes, 46 targets of 6 slots at 0.8 of their
+/// capacity, reports 75 ms old in the median and 255 ms at the ninth decile. Taken to run empty
+/// after its latest report, each target looked idle to most nodes, and 0.56 handovers per request
+/// were refused.
 #pragma once
 
 #include "Clock.h"
@@ -71,6 +78,9 @@
   /// LoadReport::m_load of the latest report, which came at m_reportedAt.
   std::uint32_t m_reportedLoad = 0;
   Instant m_reportedAt;
+  /// Moving average over time of m_reportedLoad, and the reports in a row that it is made of.
+  double m_usualLoad = 0;
+  std::uint32_t m_reportsInRow = 0;
   /// m_outstanding when the report came.
   std::uint32_t m_outstandingAtReport = 0;
   /// Average run time of the latest report that had one, in microseconds; 0 before the first.
--- a/modules/routing/src/Picker.cpp
+++ b/modules/routing/src/Picker.cpp
@@ -4,6 +4,7 @@
 
 #include <algorithm>
 #include <array>
+#include <cmath>
 
 namespace sequoiastep::routing {
 
@@ -26,7 +27,25 @@
 constexpr double kDefaultServiceUs = 250'000;
 constexpr std::array<double, 3> kDefaultRttMs{ 0.5, 4, 18 };
 constexpr double kMinWarmUpShare = 0.1;
+// A report counts for this long, so that a wrong one neither attracts nor repels calls for long.
 constexpr Milliseconds kReportMaxAgeMs = 500;
+// For this long after the latest report the usual load counts. With 500 ms, 0.064 instead of 0.041
+// handovers per request were refused in the played load at 0.8 of the capacity.
+constexpr Milliseconds kUsualLoadMaxAgeMs = 2000;
+// Reports, each within kUsualLoadMaxAgeMs of the one before, that make a usual load.
+constexpr std::uint32_t kUsualLoadReports = 3;
+// Weight of targets of unknown load, as idle ones, in the average over all targets that is expected
+// of an unknown one in another region; in the own region it is 1. With 1 for both, nodes took far
+// targets to be idle and sent 0.37 KB instead of 0.16 KB per request to other regions in the played
+// load at the capacity. With 0.1, a region kept what its own targets could not run.
+constexpr double kFarUnknownWeight = 0.25;
+// Lower bound of the run time in which a report gives way to the usual load.
+constexpr double kMinRunMs = 5;
+// Time constant of the usual load. With 1500 ms the played loads came out the same.
+constexpr double kUsualLoadMs = 500;
+// Later reports count in the usual load for at most twice that load and this, so that a wrong one
+// does not repel calls for kUsualLoadMaxAgeMs.
+constexpr double kUsualLoadRise = 4;
 constexpr Milliseconds kAvoidMinMs = 100;
 constexpr Milliseconds kAvoidMaxMs = 5000;
 constexpr std::uint32_t kMaxDoublings = 6;
@@ -131,53 +150,66 @@
 }
 
 bool
-HasFreshReport(const TargetStats& aStats, Instant aNow)
+IsLoadKnown(const TargetStats& aStats, Instant aNow)
 {
-  return aNow - aStats.m_reportedAt < kReportMaxAgeMs;
+  const bool hasUsualLoad = aStats.m_reportsInRow >= kUsualLoadReports;
+  return aNow - aStats.m_reportedAt < (hasUsualLoad ? kUsualLoadMaxAgeMs : kReportMaxAgeMs);
 }
 
-// Expected wait at a target that has not reported its load lately: the average over all targets,
-// where those without a fresh report count as idle.
+// Load that the target has now by its reports: that of the latest one gives way to the usual load
+// within about one run. Calls that this node sent since the report are not included.
 double
-AverageWaitMs(const std::vector<Candidate>& aCandidates, const PickState& aState, Instant aNow)
+LoadFromReports(const TargetStats& aStats, double aServiceMs, Instant aNow)
 {
-  double sum = 0;
-  for (const Candidate& candidate : aCandidates) {
-    const TargetStats& stats = StatsOf(aState, candidate.m_node);
-    sum += HasFreshReport(stats, aNow) ? PredictedWaitMs(candidate, stats, aNow) : 0;
+  const Milliseconds ageMs = aNow - aStats.m_reportedAt;
+  if (ageMs >= kReportMaxAgeMs) {
+    return aStats.m_usualLoad;
   }
-  return aCandidates.empty() ? 0 : sum / static_cast<double>(aCandidates.size());
+  const double left = std::exp(-static_cast<double>(ageMs) / std::max(kMinRunMs, aServiceMs));
+  return aStats.m_usualLoad + left * (aStats.m_reportedLoad - aStats.m_usualLoad);
 }
 
-double
-WaitOf(const Candidate& aCandidate, const TargetStats& aStats, double aAverageWaitMs, Instant aNow)
+// What this node knows of a candidate.
+struct KnownTarget
 {
-  const double predictedMs = PredictedWaitMs(aCandidate, aStats, aNow);
-  return HasFreshReport(aStats, aNow) ? predictedMs : std::max(predictedMs, aAverageWaitMs);
-}
+  const TargetStats* m_stats = nullptr;
+  // PredictedWaitMs.
+  double m_waitMs = 0;
+  bool m_loadKnown = false;
+};
 
 // Averages over the targets of a service.
 struct ServiceAverages
 {
   double m_runUs = 0;
+  // Expected wait at a target of unknown load in the own and in another region.
   double m_waitMs = 0;
+  double m_farWaitMs = 0;
 };
 
+double
+WaitOf(const KnownTarget& aKnown, const ServiceAverages& aAverages, Locality aLocality)
+{
+  const double expectedMs =
+    aLocality == Locality::OtherRegion ? aAverages.m_farWaitMs : aAverages.m_waitMs;
+  return aKnown.m_loadKnown ? aKnown.m_waitMs : std::max(aKnown.m_waitMs, expectedMs);
+}
+
 ScoredCandidate
 ScoreCandidate(std::size_t aIndex,
                const Candidate& aCandidate,
-               const PickState& aState,
+               const KnownTarget& aKnown,
                const PickRequest& aRequest,
                const ServiceAverages& aAverages,
                Instant aNow)
 {
-  const TargetStats& stats = StatsOf(aState, aCandidate.m_node);
+  const TargetStats& stats = *aKnown.m_stats;
   const Locality locality = LocalityOf(aCandidate, aRequest.m_region, aRequest.m_failureDomain);
   const double rttMs = stats.m_rttUs > 0 ? stats.m_rttUs / kUsPerMs
                                          : kDefaultRttMs[static_cast<std::size_t>(locality)];
   const double bodyWaitMs =
     aRequest.m_largeBody ? static_cast<double>(stats.m_bodiesUntil - aNow) : 0;
-  const double slotWaitMs = WaitOf(aCandidate, stats, aAverages.m_waitMs, aNow);
+  const double slotWaitMs = WaitOf(aKnown, aAverages, locality);
   const double waitMs = std::max(slotWaitMs, bodyWaitMs);
   return { .m_index = aIndex,
            .m_costMs =
@@ -192,20 +224,47 @@
                                : 0 };
 }
 
-// Average run time over the service's targets.
-double
-AverageServiceUs(const std::vector<Candidate>& aCandidates, const PickState& aState)
+// Looks up each candidate once, since the lookups by name are most of the time of a pick.
+std::vector<KnownTarget>
+LookUp(const std::vector<Candidate>& aCandidates, const PickState& aState, Instant aNow)
 {
-  double sum = 0;
-  double count = 0;
+  std::vector<KnownTarget> known;
+  known.reserve(aCandidates.size());
   for (const Candidate& candidate : aCandidates) {
     const TargetStats& stats = StatsOf(aState, candidate.m_node);
-    if (stats.m_serviceUs > 0) {
-      sum += stats.m_serviceUs;
-      ++count;
+    known.push_back({ .m_stats = &stats,
+                      .m_waitMs = PredictedWaitMs(candidate, stats, aNow),
+                      .m_loadKnown = IsLoadKnown(stats, aNow) });
+  }
+  return known;
+}
+
+ServiceAverages
+AveragesOf(const std::vector<KnownTarget>& aKnown, double aRouteAverageUs)
+{
+  double waitMs = 0;
+  double farWeight = 0;
+  double runUs = 0;
+  double withRun = 0;
+  for (const KnownTarget& known : aKnown) {
+    waitMs += known.m_loadKnown ? known.m_waitMs : 0;
+    farWeight += known.m_loadKnown ? 1 : kFarUnknownWeight;
+    if (known.m_stats->m_serviceUs > 0) {
+      runUs += known.m_stats->m_serviceUs;
+      ++withRun;
     }
   }
-  return count > 0 ? sum / count : kDefaultServiceUs;
+  ServiceAverages averages;
+  if (!aKnown.empty()) {
+    averages.m_waitMs = waitMs / static_cast<double>(aKnown.size());
+    averages.m_farWaitMs = waitMs / farWeight;
+  }
+  if (aRouteAverageUs > 0) {
+    averages.m_runUs = aRouteAverageUs;
+  } else {
+    averages.m_runUs = withRun > 0 ? runUs / withRun : kDefaultServiceUs;
+  }
+  return averages;
 }
 
 std::vector<ScoredCandidate>
@@ -214,17 +273,16 @@
               const PickRequest& aRequest,
               Instant aNow)
 {
-  const ServiceAverages averages{ .m_runUs = aRequest.m_routeAverageUs > 0
-                                               ? aRequest.m_routeAverageUs
-                                               : AverageServiceUs(aCandidates, aState),
-                                  .m_waitMs = AverageWaitMs(aCandidates, aState, aNow) };
+  const std::vector<KnownTarget> known = LookUp(aCandidates, aState, aNow);
+  const ServiceAverages averages = AveragesOf(known, aRequest.m_routeAverageUs);
   std::vector<ScoredCandidate> scored;
+  scored.reserve(aCandidates.size());
   for (std::size_t i = 0; i < aCandidates.size(); ++i) {
     const Candidate& candidate = aCandidates[i];
     const bool otherRegion = candidate.m_region != aRequest.m_region;
     const bool tried = aRequest.m_tried != nullptr && aRequest.m_tried->contains(candidate.m_node);
     if (!tried && (!otherRegion || aRequest.m_crossRegion)) {
-      scored.push_back(ScoreCandidate(i, candidate, aState, aRequest, averages, aNow));
+      scored.push_back(ScoreCandidate(i, candidate, known[i], aRequest, averages, aNow));
     }
   }
   return scored;
@@ -257,9 +315,26 @@
   return *best;
 }
 
+// Averages over time, since busy targets are heard of less often.
+void
+AddToUsualLoad(TargetStats& aStats, double aLoad, Instant aNow)
+{
+  const Milliseconds sinceMs = std::max<Milliseconds>(1, aNow - aStats.m_reportedAt);
+  if (sinceMs >= kUsualLoadMaxAgeMs) {
+    aStats.m_reportsInRow = 1;
+    aStats.m_usualLoad = aLoad;
+    return;
+  }
+  ++aStats.m_reportsInRow;
+  const double weight = 1 - std::exp(-static_cast<double>(sinceMs) / kUsualLoadMs);
+  const double bounded = std::min(aLoad, 2 * aStats.m_usualLoad + kUsualLoadRise);
+  aStats.m_usualLoad += weight * (bounded - aStats.m_usualLoad);
+}
+
 void
 ApplyReport(TargetStats& aStats, const LoadReport& aReport, Instant aNow)
 {
+  AddToUsualLoad(aStats, aReport.m_load, aNow);
   aStats.m_reportedLoad = aReport.m_load;
   aStats.m_reportedAt = aNow;
   aStats.m_outstandingAtReport = aStats.m_outstanding;
@@ -318,15 +393,11 @@
   const double serviceMs =
     (aStats.m_serviceUs > 0 ? aStats.m_serviceUs : kDefaultServiceUs) / kUsPerMs;
   const double slots = UsableSlots(aCandidate, serviceMs, aNow);
-  const Milliseconds ageMs = aNow - aStats.m_reportedAt;
   double load = aStats.m_outstanding;
-  if (HasFreshReport(aStats, aNow)) {
-    // The reported load drains at the rate of the slots; calls sent by this node since are added.
-    const double done = std::min<double>(aStats.m_reportedLoad, slots) *
-                        static_cast<double>(ageMs) / std::max(1.0, serviceMs);
+  if (IsLoadKnown(aStats, aNow)) {
     const double sent =
       std::max(0.0, static_cast<double>(aStats.m_outstanding) - aStats.m_outstandingAtReport);
-    load = std::max(load, std::max(0.0, aStats.m_reportedLoad - done) + sent);
+    load = std::max(load, LoadFromReports(aStats, serviceMs, aNow) + sent);
   }
   const double slotWaitMs = std::max(0.0, load + 1 - slots) * serviceMs / slots;
   return std::max(slotWaitMs, static_cast<double>(aStats.m_rateLimitedUntil - aNow));
