--- a/tools/StandInTarget.cpp
+++ b/tools/StandInTarget.cpp
@@ -48,6 +48,8 @@
   Milliseconds m_fixedLoad = -1;
   /// How long the load endpoint repeats a measured load before it takes a new one.
   Milliseconds m_loadLagMs = 0;
+  /// Padding in the body of each answer, in bytes.
+  std::size_t m_answerBytes = 0;
 };
 
 class TargetServer
@@ -217,13 +219,15 @@
       co_await timer.async_wait(asio::use_awaitable);
     }
     slot.m_finished = true;
-    HttpResponse response = net::MakeResponse(
-      http::status::ok,
-      "application/json",
-      json::serialize(json::object{ { "service", m_options.m_service },
-                                    { "path", std::string_view(aRequest.target()) },
-                                    { "request", id },
-                                    { "body", std::string_view(aRequest.body()) } }));
+    json::object answer{ { "service", m_options.m_service },
+                         { "path", std::string_view(aRequest.target()) },
+                         { "request", id },
+                         { "body", std::string_view(aRequest.body()) } };
+    if (m_options.m_answerBytes > 0) {
+      answer["padding"] = std::string(m_options.m_answerBytes, 'p');
+    }
+    HttpResponse response =
+      net::MakeResponse(http::status::ok, "application/json", json::serialize(answer));
     response.set("X-Request-Id", id);
     AddNotice(response);
     co_return response;
@@ -256,15 +260,17 @@
 {
   asio::io_context context(1);
   const std::string listen = aOptions.Text("listen", "127.0.0.1:0");
-  TargetServer target(context,
-                      { .m_service = aOptions.Text("service", "jobboard"),
-                        .m_nodeAddress = aOptions.Text("node", ""),
-                        .m_slots = static_cast<std::uint64_t>(aOptions.Number("slots", 6)),
-                        .m_serviceTimeMs = aOptions.Number("work-ms", 1),
-                        .m_warmUpMs = aOptions.Number("cold-ms", 0),
-                        .m_ttlMs = aOptions.Number("ttl-ms", 3000),
-                        .m_fixedLoad = aOptions.Number("claimed-load", -1),
-                        .m_loadLagMs = aOptions.Number("load-lag-ms", 0) });
+  TargetServer target(
+    context,
+    { .m_service = aOptions.Text("service", "jobboard"),
+      .m_nodeAddress = aOptions.Text("node", ""),
+      .m_slots = static_cast<std::uint64_t>(aOptions.Number("slots", 6)),
+      .m_serviceTimeMs = aOptions.Number("work-ms", 1),
+      .m_warmUpMs = aOptions.Number("cold-ms", 0),
+      .m_ttlMs = aOptions.Number("ttl-ms", 3000),
+      .m_fixedLoad = aOptions.Number("claimed-load", -1),
+      .m_loadLagMs = aOptions.Number("load-lag-ms", 0),
+      .m_answerBytes = static_cast<std::size_t>(aOptions.Number("answer-bytes", 0)) });
   net::HttpServer server(
     context,
     { .m_idleTimeoutMs = 600'000 },
