--- a/modules/net/include/FrameConnection.h
+++ b/modules/net/include/FrameConnection.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "AsioTypes.h"
+#include "ByteBudget.h"
 #include "Frame.h"
 
 #include <cstddef>
@@ -36,7 +37,12 @@
   FrameConnection(const FrameConnection&) = delete;
   FrameConnection& operator=(const FrameConnection&) = delete;
 
-  /// Receives one message before Start: the peer's Hello.
+  /// Counts what is queued for the peer, and what came of an incomplete frame, against aBudget;
+  /// call it before Start. If the budget is used up, a connection whose queue is longer than the
+  /// longest frame is closed.
+  void CountAgainst(std::shared_ptr<ByteBudget> aBudget);
+  /// Receives one message before Start: the peer's Hello. Until then the peer is a stranger, and
+  /// no longer frame is accepted than a Hello needs.
   /// @param aMessage receives the message.
   /// @param aTimeoutMs time limit in milliseconds, after which the connection is closed.
   /// @return false if no complete, valid message arrived in time or the connection closed or
--- a/modules/net/include/HttpClient.h
+++ b/modules/net/include/HttpClient.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "AsioTypes.h"
+#include "ByteBudget.h"
 
 #include <cstddef>
 #include <functional>
@@ -47,6 +48,9 @@
   std::uint64_t m_maxBodyBytes = 8U << 20;
   /// Most bytes of bodies that are received at the same time, all responses together.
   std::uint64_t m_maxReceivingBytes = 16U << 20;
+  /// Budget that these bytes count against as well; null for none. While it is used up, no more
+  /// than one response of the longest body is received.
+  std::shared_ptr<ByteBudget> m_budget;
   /// How long an idle connection may be reused if the server states no timeout in Keep-Alive.
   std::int64_t m_idleTimeoutMs = 20'000;
 };
--- a/modules/net/include/HttpServer.h
+++ b/modules/net/include/HttpServer.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "AsioTypes.h"
+#include "ByteBudget.h"
 #include "Error.h"
 
 #include <cstddef>
@@ -25,6 +26,9 @@
   /// Most bytes of large bodies of all requests that are being received or handled. A request that
   /// would exceed it is answered 503 and not handled.
   std::uint64_t m_maxBufferedBytes = 64U << 20;
+  /// Most bytes of read buffers, headers, small bodies and unsent responses. Beyond it, the
+  /// connections whose clients progress slowest are closed.
+  std::uint64_t m_maxHeldBytes = 64U << 20;
   /// Longest wait for the first byte of a request while no request is in progress.
   std::int64_t m_idleTimeoutMs = 60'000;
   /// Longest time to receive the header of a request, from its first byte.
@@ -32,6 +36,24 @@
   /// Longest time to receive the body of a request or to send one response.
   std::int64_t m_transferTimeoutMs = 15'000;
   std::size_t m_maxConnections = 4096;
+  /// Descriptors that connections of this server leave free, of those that the process may open; at
+  /// most half of them.
+  std::size_t m_reservedDescriptors = 0;
+};
+
+/// What a server refused or closed because of its bounds. The counts never decrease.
+struct HttpCounts
+{
+  /// Connections closed because they were the slowest when memory was used up.
+  std::uint64_t m_closedForMemory = 0;
+  /// Connections without a request that were closed for new ones.
+  std::uint64_t m_closedForConnections = 0;
+  /// New connections closed at once: too many are open, or too few descriptors are left.
+  std::uint64_t m_refusedConnections = 0;
+  /// Requests refused because there was no room for them.
+  std::uint64_t m_refusedForMemory = 0;
+  /// Requests refused because their header, trailers or the framing of a chunk is too long.
+  std::uint64_t m_refusedTooLong = 0;
 };
 
 /// Handles one request. Runs on the server's thread; cancelled if the client disconnects.
@@ -66,6 +88,8 @@
   /// Selects the requests that may run concurrently; call it before Listen. Without a filter the
   /// requests of a connection run one by one.
   void SetOverlapFilter(HttpOverlapFilter aMayOverlap);
+  /// Makes what the server holds count against aBudget as well; call it before Listen.
+  void SetBudget(std::shared_ptr<ByteBudget> aBudget);
   /// Sets the limits for requests that begin from now on.
   void SetLimits(const HttpLimits& aLimits);
   /// Makes clients connect elsewhere: each connection is closed after the responses to the requests
@@ -82,6 +106,12 @@
   /// request is being received, handled or answered, or the client has yet to receive the rest of
   /// the last response before a close.
   std::size_t OwedConnections() const;
+  /// @return what was refused or closed because of the server's bounds.
+  const HttpCounts& Counts() const;
+  /// @return the bytes of read buffers, headers, small bodies and unsent responses.
+  std::uint64_t HeldBytes() const;
+  /// @return the bytes of large request bodies.
+  std::uint64_t BufferedBytes() const;
 
 private:
   std::shared_ptr<HttpServerState> m_state;
--- a/modules/net/src/FrameConnection.cpp
+++ b/modules/net/src/FrameConnection.cpp
@@ -20,6 +20,8 @@
 // A peer that acknowledges nothing for this long counts as dead, even if it closed no connection.
 constexpr std::int64_t kUserTimeoutMs = 3000;
 constexpr int kMaxDiscardingReads = 256;
+// A Hello holds names and addresses only.
+constexpr std::size_t kMaxHelloBytes = 64U << 10;
 
 } // namespace
 
@@ -34,6 +36,8 @@
   wire::FrameReader m_reader;
   std::string m_writeBuffer;
   std::string m_sendQueue;
+  std::shared_ptr<ByteBudget> m_budget;
+  std::optional<BudgetShare> m_share;
   ByteCounts m_bytes;
   bool m_writeInFlight = false;
   FrameConnection::OnMessage m_onMessage;
@@ -51,6 +55,17 @@
   aState.m_socket.close(ignored);
 }
 
+// Returns false if the budget is used up.
+bool
+CountHeld(FrameConnectionState& aState)
+{
+  if (!aState.m_share) {
+    return true;
+  }
+  const std::size_t writing = aState.m_writeInFlight ? aState.m_writeBuffer.size() : 0;
+  return aState.m_share->Set(aState.m_sendQueue.size() + writing + aState.m_reader.BufferedBytes());
+}
+
 // Closing a socket with unread bytes resets the connection, which can destroy what the peer has not
 // read yet.
 void
@@ -108,6 +123,7 @@
   }
   aState->m_bytes.m_received += size;
   aState->m_reader.Feed({ buffer.data(), size });
+  CountHeld(*aState);
   co_return true;
 }
 
@@ -156,6 +172,7 @@
                       if (aState->m_writeBuffer.capacity() > kMaxKeptWriteBufferBytes) {
                         aState->m_writeBuffer = std::string();
                       }
+                      CountHeld(*aState);
                       WriteQueued(aState);
                     });
 }
@@ -176,10 +193,18 @@
   Close();
 }
 
+void
+FrameConnection::CountAgainst(std::shared_ptr<ByteBudget> aBudget)
+{
+  m_state->m_budget = std::move(aBudget);
+  m_state->m_share.emplace(*m_state->m_budget);
+}
+
 Awaitable<bool>
 FrameConnection::ReceiveOne(wire::EnvelopeT& aMessage, std::int64_t aTimeoutMs)
 {
   const StatePtr state = m_state;
+  state->m_reader.SetMaxPayload(kMaxHelloBytes);
   asio::steady_timer timer(state->m_socket.get_executor(), std::chrono::milliseconds(aTimeoutMs));
   timer.async_wait([state](const error_code& aError) {
     if (!aError) {
@@ -191,10 +216,11 @@
     auto envelope = NextEnvelope(*state, reason);
     if (envelope) {
       aMessage = std::move(*envelope);
+      state->m_reader.SetMaxPayload(wire::kMaxFramePayloadBytes);
       co_return true;
     }
     if (!reason.empty()) {
-      LogLine(LogLevel::Warning, "peer_connection_refused").Add("reason", reason);
+      LogLine(LogLevel::Warning, "peer_connection_refused", reason).Add("reason", reason);
       co_return false;
     }
     if (!co_await ReadSome(state)) {
@@ -217,7 +243,9 @@
   if (!m_state->m_socket.is_open()) {
     return;
   }
-  if (m_state->m_sendQueue.size() + aFrame.size() > kMaxSendQueueBytes) {
+  const std::size_t queued = m_state->m_sendQueue.size() + aFrame.size();
+  const bool isLongQueue = queued > wire::kMaxFramePayloadBytes + aFrame.size();
+  if (queued > kMaxSendQueueBytes || (isLongQueue && !CountHeld(*m_state))) {
     const StatePtr state = m_state;
     asio::post(state->m_socket.get_executor(), [state] {
       FailConnection(state, "the peer reads too slowly; the send queue exceeds its limit");
@@ -230,6 +258,7 @@
     m_state->m_sendQueue += aFrame;
   }
   WriteQueued(m_state);
+  CountHeld(*m_state);
 }
 
 void
--- a/modules/net/src/HttpClient.cpp
+++ b/modules/net/src/HttpClient.cpp
@@ -1,6 +1,5 @@
 #include "HttpClient.h"
 
-#include "ByteBudget.h"
 #include "Clock.h"
 #include "SocketOptions.h"
 
@@ -25,6 +24,12 @@
 // Bounds what is not body: a header, the size of a chunk with its extensions, or trailers.
 constexpr std::size_t kMaxUnparsedBytes = 128U << 10;
 constexpr std::uint32_t kMaxInterimResponses = 8;
+// A body is held as received, as an answer and as it is sent on.
+constexpr std::uint64_t kCopiesOfResponse = 3;
+// Responses of up to this size are received whatever else is held.
+constexpr std::uint64_t kSmallResponseBytes = 16U << 10;
+// Pause between checks for room.
+constexpr Milliseconds kRoomPollMs = 5;
 
 // A connection and the bytes read past its last response.
 struct PooledConnection
@@ -53,7 +58,9 @@
   HttpClientState(asio::io_context& aContext, HttpClientOptions aOptions)
     : m_context(aContext)
     , m_options(std::move(aOptions))
-    , m_receiving{ .m_max = m_options.m_maxReceivingBytes }
+    , m_receiving{ .m_max = m_options.m_maxReceivingBytes,
+                   .m_common = m_options.m_budget,
+                   .m_copies = kCopiesOfResponse }
   {
   }
 
@@ -161,18 +168,64 @@
          aResponse.result() != http::status::switching_protocols;
 }
 
+// Whether a large response must wait before more of it is read.
+bool
+MustWait(const HttpClientState& aState, std::uint64_t aComing)
+{
+  const ByteBudget& receiving = aState.m_receiving;
+  if (!receiving.m_common) {
+    return false;
+  }
+  return receiving.m_used + aComing > aState.m_options.m_maxBodyBytes &&
+         !receiving.HasRoom(aComing);
+}
+
+// Leaves the rest of a large response unread while there is no room for it, so that it waits at its
+// source. Room for a body of known size is taken at once: two that have a part of it each would
+// wait for each other.
+Awaitable<error_code>
+AwaitRoom(HttpClientState& aState,
+          PooledPtr aConnection,
+          const ResponseParser& aParser,
+          BudgetShare& aShare)
+{
+  const std::uint64_t held = aParser.get().body().size();
+  const auto remaining = aParser.content_length_remaining();
+  const std::uint64_t size = held + remaining.value_or(0);
+  if (size <= kSmallResponseBytes || size > aState.m_options.m_maxBodyBytes ||
+      (remaining && size <= aShare.Bytes())) {
+    co_return error_code();
+  }
+  while (MustWait(aState, size - std::min(size, aShare.Bytes()))) {
+    asio::steady_timer timer(aState.m_context, std::chrono::milliseconds(kRoomPollMs));
+    const auto [error] = co_await timer.async_wait(kAsTuple);
+    if (error || !aConnection->m_socket.is_open()) {
+      co_return asio::error::operation_aborted;
+    }
+  }
+  aShare.Set(std::max(size, aShare.Bytes()));
+  co_return error_code();
+}
+
 // Reads one whole response; bounded in memory, whatever the server sends.
 Awaitable<error_code>
 ReadResponse(HttpClientState& aState, PooledPtr aConnection, ResponseParser& aParser)
 {
   BudgetShare share(aState.m_receiving);
   while (!aParser.is_done()) {
+    if (aState.m_receiving.m_common && aParser.is_header_done()) {
+      const error_code waitError = co_await AwaitRoom(aState, aConnection, aParser, share);
+      if (waitError) {
+        co_return waitError;
+      }
+    }
     const auto [error, size] = co_await http::async_read_some(
       aConnection->m_socket, aConnection->m_buffer, aParser, kAsTuple);
     if (error) {
       co_return error;
     }
-    if (!share.Set(aParser.get().body().size())) {
+    share.Set(std::max<std::uint64_t>(share.Bytes(), aParser.get().body().size()));
+    if (aState.m_receiving.m_used > aState.m_receiving.m_max) {
       co_return http::error::body_limit;
     }
   }
--- a/modules/net/src/HttpServer.cpp
+++ b/modules/net/src/HttpServer.cpp
@@ -2,19 +2,15 @@
 
 #include "Acceptor.h"
 #include "Address.h"
-#include "ByteBudget.h"
-#include "Clock.h"
-#include "Log.h"
+#include "HttpServerBounds.h"
+#include "HttpServerState.h"
 #include "SocketOptions.h"
 
 #include <algorithm>
 #include <boost/asio/bind_cancellation_slot.hpp>
-#include <boost/asio/cancellation_signal.hpp>
 #include <boost/asio/write.hpp>
-#include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/http.hpp>
 #include <chrono>
-#include <deque>
 #include <optional>
 #include <set>
 
@@ -31,81 +27,14 @@
 // receive more of that response.
 constexpr Milliseconds kLingerMs = 1000;
 constexpr std::size_t kMaxPipelined = 32;
-constexpr std::size_t kReadBufferBytes = 4096;
+// While more of its responses is unsent, no further request of a connection starts.
+constexpr std::uint64_t kMaxUnsentBytes = 256U << 10;
 constexpr std::string_view kContinueResponse = "HTTP/1.1 100 Continue\r\n\r\n";
 
-// A request in progress and its response.
-struct Exchange
-{
-  explicit Exchange(ByteBudget& aBudget)
-    : m_buffered(aBudget)
-  {
-  }
-
-  std::optional<HttpResponse> m_response;
-  bool m_keepAlive = true;
-  /// Bytes of the request's body, if it is large.
-  BudgetShare m_buffered;
-  asio::cancellation_signal m_cancel;
-};
-
-using ExchangePtr = std::shared_ptr<Exchange>;
-
-// Suspends coroutines until Wake: a timer that never expires and is cancelled to resume them.
-struct Wakeup
-{
-  explicit Wakeup(const asio::any_io_executor& aExecutor)
-    : m_timer(aExecutor, std::chrono::steady_clock::time_point::max())
-  {
-  }
-
-  Awaitable<void> Wait() { co_await m_timer.async_wait(kAsTuple); }
-  void Wake() { m_timer.cancel(); }
-
-  asio::steady_timer m_timer;
-};
-
-struct Connection
-{
-  explicit Connection(tcp::socket aSocket)
-    : m_socket(std::move(aSocket))
-    , m_responseReady(m_socket.get_executor())
-    , m_exchangeDone(m_socket.get_executor())
-  {
-  }
-
-  tcp::socket m_socket;
-  beast::flat_buffer m_buffer;
-  /// In the order in which the requests arrived.
-  std::deque<ExchangePtr> m_exchanges;
-  /// Wakes the writer: the first exchange may have its response, or the connection ends.
-  Wakeup m_responseReady;
-  /// Wakes the reader: an exchange has ended.
-  Wakeup m_exchangeDone;
-  /// The connection is closed when one of these has passed.
-  std::optional<Instant> m_readDeadline;
-  std::optional<Instant> m_writeDeadline;
-  /// No byte of the next request has arrived.
-  bool m_betweenRequests = true;
-  /// The server closes the connection; requests read from now on are not run.
-  bool m_closing = false;
-  /// The last response announced the close.
-  bool m_closeAnnounced = false;
-  bool m_readerDone = false;
-  /// The last response is written; the client has yet to receive it and to close its side.
-  bool m_lingering = false;
-  /// While lingering: bytes that the client had not acknowledged when last checked.
-  std::size_t m_unacknowledged = 0;
-  /// The socket is closed or the client disconnected; the read and write loops end.
-  bool m_disconnected = false;
-};
-
-using ConnectionPtr = std::shared_ptr<Connection>;
-
 // True while a request is being received, handled or answered, or the client has yet to receive the
 // rest of the last response.
 bool
-Owes(const Connection& aConnection)
+Owes(const HttpConnection& aConnection)
 {
   if (aConnection.m_disconnected) {
     return false;
@@ -115,48 +44,6 @@
   return aConnection.m_lingering || !aConnection.m_exchanges.empty() || halfRead;
 }
 
-void
-Disconnect(Connection& aConnection)
-{
-  error_code ignored;
-  aConnection.m_disconnected = true;
-  aConnection.m_socket.close(ignored);
-  aConnection.m_responseReady.Wake();
-  aConnection.m_exchangeDone.Wake();
-}
-
-} // namespace
-
-struct HttpServerState : std::enable_shared_from_this<HttpServerState>
-{
-  HttpServerState(asio::io_context& aContext,
-                  HttpLimits aLimits,
-                  HttpHandler aHandler,
-                  HttpErrorHandler aErrorHandler)
-    : m_context(aContext)
-    , m_acceptor(aContext)
-    , m_limits(aLimits)
-    , m_buffered{ .m_max = aLimits.m_maxBufferedBytes }
-    , m_handler(std::move(aHandler))
-    , m_errorHandler(std::move(aErrorHandler))
-  {
-  }
-
-  asio::io_context& m_context;
-  tcp::acceptor m_acceptor;
-  HttpLimits m_limits;
-  ByteBudget m_buffered;
-  HttpHandler m_handler;
-  HttpErrorHandler m_errorHandler;
-  HttpOverlapFilter m_mayOverlap;
-  std::set<ConnectionPtr> m_connections;
-  bool m_draining = false;
-  bool m_stopping = false;
-  bool m_checkingTimeouts = false;
-};
-
-namespace {
-
 using StatePtr = std::shared_ptr<HttpServerState>;
 
 http::status
@@ -184,16 +71,34 @@
 }
 
 void
-SetResponse(Connection& aConnection, Exchange& aExchange, HttpResponse aResponse)
+CountRefusal(HttpServerState& aState, const error_code& aError)
 {
+  const http::status status = StatusForReadError(aError);
+  if (status == http::status::service_unavailable) {
+    ++aState.m_counts.m_refusedForMemory;
+  } else if (status == http::status::request_header_fields_too_large) {
+    ++aState.m_counts.m_refusedTooLong;
+  }
+}
+
+void
+SetResponse(HttpServerState& aState,
+            HttpConnection& aConnection,
+            HttpExchange& aExchange,
+            HttpResponse aResponse)
+{
+  if (aConnection.m_disconnected) {
+    return; // Nobody waits for it.
+  }
   aExchange.m_response = std::move(aResponse);
+  HoldAnswer(aState, aConnection, aExchange);
   aConnection.m_responseReady.Wake();
 }
 
 void
 StartHandler(const StatePtr& aState,
-             const ConnectionPtr& aConnection,
-             const ExchangePtr& aExchange,
+             const HttpConnectionPtr& aConnection,
+             const HttpExchangePtr& aExchange,
              HttpRequest aRequest)
 {
   asio::co_spawn(
@@ -205,17 +110,23 @@
         if (aFailure) {
           aResponse = aState->m_errorHandler(http::status::bad_gateway, "the call was broken off");
         }
-        SetResponse(*aConnection, *aExchange, std::move(aResponse));
+        SetResponse(*aState, *aConnection, *aExchange, std::move(aResponse));
       }));
 }
 
 // Waits for the first bytes of the next request. Returns false if the connection closed or failed.
 Awaitable<bool>
-AwaitFirstByte(const StatePtr& aState, Connection& aConnection)
+AwaitFirstByte(const StatePtr& aState, HttpConnection& aConnection)
 {
+  aConnection.m_readingSince = Clock::Now();
   if (aConnection.m_buffer.size() > 0) {
     co_return true;
   }
+  aConnection.m_buffer.clear();
+  if (aConnection.m_buffer.capacity() > kReadBufferBytes) {
+    aConnection.m_buffer.shrink_to_fit();
+  }
+  BoundReadBuffer(*aState, aConnection);
   aConnection.m_readDeadline = Clock::Now() + aState->m_limits.m_idleTimeoutMs;
   aConnection.m_betweenRequests = true;
   const auto [error, size] = co_await aConnection.m_socket.async_read_some(
@@ -225,7 +136,7 @@
 }
 
 Awaitable<void>
-SendContinue(Connection& aConnection, const HttpRequest& aRequest)
+SendContinue(HttpConnection& aConnection, const HttpRequest& aRequest)
 {
   if (aConnection.m_exchanges.empty() &&
       beast::iequals(aRequest[http::field::expect], "100-continue")) {
@@ -235,15 +146,45 @@
 
 using RequestParser = http::request_parser<http::string_body>;
 
-// Reads the body while the budget for large ones allows it.
+// Reads the header while there is room for it; aBytes receives its size.
 Awaitable<error_code>
-ReadBody(Connection& aConnection, RequestParser& aParser, BudgetShare& aBuffered)
+ReadHeader(const StatePtr& aState,
+           HttpConnection& aConnection,
+           RequestParser& aParser,
+           std::uint64_t& aBytes)
+{
+  while (!aParser.is_header_done()) {
+    if (!BoundReadBuffer(*aState, aConnection)) {
+      co_return asio::error::no_memory;
+    }
+    const auto [error, size] =
+      co_await http::async_read_some(aConnection.m_socket, aConnection.m_buffer, aParser, kAsTuple);
+    aBytes += size;
+    if (error) {
+      co_return error;
+    }
+  }
+  co_return error_code();
+}
+
+// Reads the body while there is room for it.
+Awaitable<error_code>
+ReadBody(const StatePtr& aState,
+         HttpConnection& aConnection,
+         RequestParser& aParser,
+         HttpExchange& aExchange,
+         std::uint64_t aHeaderBytes)
 {
   aParser.eager(true); // Parses all that a read brought, however small its chunks are.
   while (!aParser.is_done()) {
     const std::uint64_t held = aParser.get().body().size();
     const std::uint64_t coming = aParser.content_length_remaining().value_or(0);
-    if (held + coming > kMaxSmallBodyBytes && !aBuffered.Set(held + coming)) {
+    const bool large = held + coming > kMaxSmallBodyBytes;
+    if (large && !aExchange.m_buffered.Set(held + coming)) {
+      co_return asio::error::no_memory;
+    }
+    if (!HoldRequest(*aState, aConnection, aExchange, aHeaderBytes + (large ? 0 : held)) ||
+        !BoundReadBuffer(*aState, aConnection)) {
       co_return asio::error::no_memory;
     }
     const auto [error, size] =
@@ -259,8 +200,8 @@
 // IsBadRequest(aError) tells which.
 Awaitable<std::optional<HttpRequest>>
 ReadRequest(const StatePtr& aState,
-            Connection& aConnection,
-            BudgetShare& aBuffered,
+            HttpConnection& aConnection,
+            HttpExchange& aExchange,
             error_code& aError)
 {
   const bool received = co_await AwaitFirstByte(aState, aConnection);
@@ -268,16 +209,21 @@
     co_return std::nullopt;
   }
   aConnection.m_betweenRequests = false;
+  aConnection.m_used = true;
+  aConnection.m_readingSince = Clock::Now();
   RequestParser parser;
   parser.header_limit(aState->m_limits.m_maxHeaderBytes);
   parser.body_limit(aState->m_limits.m_maxBodyBytes);
   aConnection.m_readDeadline = Clock::Now() + aState->m_limits.m_headerTimeoutMs;
-  auto [error, size] =
-    co_await http::async_read_header(aConnection.m_socket, aConnection.m_buffer, parser, kAsTuple);
+  std::uint64_t headerBytes = 0;
+  error_code error = co_await ReadHeader(aState, aConnection, parser, headerBytes);
+  if (!error && !HoldRequest(*aState, aConnection, aExchange, headerBytes)) {
+    error = asio::error::no_memory;
+  }
   if (!error && !parser.is_done()) {
     aConnection.m_readDeadline = Clock::Now() + aState->m_limits.m_transferTimeoutMs;
     co_await SendContinue(aConnection, parser.get());
-    error = co_await ReadBody(aConnection, parser, aBuffered);
+    error = co_await ReadBody(aState, aConnection, parser, aExchange, headerBytes);
   }
   aConnection.m_readDeadline.reset();
   aError = error;
@@ -288,45 +234,36 @@
 }
 
 bool
-MayStart(const HttpServerState& aState, const Connection& aConnection, const HttpRequest& aRequest)
+MayStart(const HttpServerState& aState,
+         const HttpConnection& aConnection,
+         const HttpRequest& aRequest)
 {
   if (aConnection.m_exchanges.empty()) {
     return true;
   }
-  return aConnection.m_exchanges.size() < kMaxPipelined && aState.m_mayOverlap &&
+  return aConnection.m_exchanges.size() < kMaxPipelined &&
+         UnsentBytes(aConnection) <= kMaxUnsentBytes && aState.m_mayOverlap &&
          aState.m_mayOverlap(aRequest);
 }
 
-// Cancels all requests after the client disconnected, since their responses can't be delivered.
-void
-CancelAll(Connection& aConnection)
-{
-  aConnection.m_disconnected = true;
-  const std::deque<ExchangePtr> exchanges = aConnection.m_exchanges;
-  for (const ExchangePtr& exchange : exchanges) {
-    exchange->m_cancel.emit(asio::cancellation_type::terminal);
-  }
-  aConnection.m_responseReady.Wake();
-}
-
 // Whether the connection will be closed after the responses in progress. Reading continues
 // nevertheless, to detect that the client disconnects.
 bool
-ClosesAfterPending(const HttpServerState& aState, const Connection& aConnection)
+ClosesAfterPending(const HttpServerState& aState, const HttpConnection& aConnection)
 {
   return !aConnection.m_exchanges.empty() &&
          (aState.m_draining || !aConnection.m_exchanges.back()->m_keepAlive);
 }
 
 Awaitable<void>
-ReadLoop(StatePtr aState, ConnectionPtr aConnection)
+ReadLoop(StatePtr aState, HttpConnectionPtr aConnection)
 {
-  Connection& connection = *aConnection;
+  HttpConnection& connection = *aConnection;
   while (!connection.m_closing && !connection.m_disconnected) {
     error_code error;
-    auto exchange = std::make_shared<Exchange>(aState->m_buffered);
-    std::optional<HttpRequest> request =
-      co_await ReadRequest(aState, connection, exchange->m_buffered, error);
+    auto exchange = std::make_shared<HttpExchange>(aState->m_buffered, aState->m_held);
+    connection.m_receiving = exchange;
+    std::optional<HttpRequest> request = co_await ReadRequest(aState, connection, *exchange, error);
     while (request && !connection.m_disconnected && !MayStart(*aState, connection, *request)) {
       co_await connection.m_exchangeDone.Wait();
     }
@@ -340,16 +277,21 @@
       CancelAll(connection);
       break;
     }
+    connection.m_receiving.reset();
     connection.m_exchanges.push_back(exchange);
     if (!request) {
       exchange->m_keepAlive = false;
-      SetResponse(
-        connection, *exchange, aState->m_errorHandler(StatusForReadError(error), error.message()));
+      CountRefusal(*aState, error);
+      SetResponse(*aState,
+                  connection,
+                  *exchange,
+                  aState->m_errorHandler(StatusForReadError(error), error.message()));
       break;
     }
     exchange->m_keepAlive = request->keep_alive();
     StartHandler(aState, aConnection, exchange, std::move(*request));
   }
+  connection.m_receiving.reset();
   connection.m_readerDone = true;
   connection.m_responseReady.Wake();
 }
@@ -357,9 +299,9 @@
 // Whether the connection stays open after the first exchange's response. Requests that were already
 // read are answered before the connection closes.
 bool
-IsKeptAliveAfterFirst(const HttpServerState& aState, const Connection& aConnection)
+IsKeptAliveAfterFirst(const HttpServerState& aState, const HttpConnection& aConnection)
 {
-  const Exchange& exchange = *aConnection.m_exchanges.front();
+  const HttpExchange& exchange = *aConnection.m_exchanges.front();
   if (aConnection.m_exchanges.size() > 1) {
     return true;
   }
@@ -367,16 +309,23 @@
 }
 
 Awaitable<bool>
-WriteFirstResponse(const StatePtr& aState, Connection& aConnection)
+WriteFirstResponse(const StatePtr& aState, HttpConnection& aConnection)
 {
-  const ExchangePtr exchange = aConnection.m_exchanges.front();
+  const HttpExchangePtr exchange = aConnection.m_exchanges.front();
   const bool keepAlive = IsKeptAliveAfterFirst(*aState, aConnection);
   exchange->m_response->keep_alive(keepAlive);
   aConnection.m_closing = !keepAlive;
   aConnection.m_closeAnnounced = !keepAlive;
   aConnection.m_writeDeadline = Clock::Now() + aState->m_limits.m_transferTimeoutMs;
-  const auto [error, size] =
-    co_await http::async_write(aConnection.m_socket, *exchange->m_response, kAsTuple);
+  http::response_serializer<http::string_body> serializer(*exchange->m_response);
+  error_code error;
+  while (!error && !serializer.is_done()) {
+    const auto [writeError, size] =
+      co_await http::async_write_some(aConnection.m_socket, serializer, kAsTuple);
+    error = writeError;
+    aConnection.m_sentAt = Clock::Now();
+  }
+  exchange->m_answer.Set(0);
   aConnection.m_writeDeadline.reset();
   aConnection.m_exchanges.pop_front();
   aConnection.m_exchangeDone.Wake();
@@ -387,7 +336,7 @@
 // those that became idle after StopAccepting, since their last response did not say that they
 // close.
 bool
-ClosesNow(const HttpServerState& aState, const Connection& aConnection)
+ClosesNow(const HttpServerState& aState, const HttpConnection& aConnection)
 {
   const bool stopsIdle = aState.m_stopping && aConnection.m_betweenRequests;
   return aConnection.m_exchanges.empty() &&
@@ -395,7 +344,7 @@
 }
 
 Awaitable<void>
-WriteLoop(const StatePtr& aState, Connection& aConnection)
+WriteLoop(const StatePtr& aState, HttpConnection& aConnection)
 {
   while (!aConnection.m_disconnected) {
     if (aConnection.m_exchanges.empty() || !aConnection.m_exchanges.front()->m_response) {
@@ -416,7 +365,7 @@
 // Reads until the client closes: closing a socket with unread bytes sends a reset, which can
 // destroy the last response in transit.
 Awaitable<void>
-Linger(const StatePtr& aState, Connection& aConnection)
+Linger(const StatePtr& aState, HttpConnection& aConnection)
 {
   error_code ignored;
   aConnection.m_unacknowledged = UnacknowledgedBytes(aConnection.m_socket);
@@ -440,7 +389,7 @@
 
 // A client that still receives the last response may take longer to close its side.
 void
-ExtendLinger(Connection& aConnection, Instant aNow)
+ExtendLinger(HttpConnection& aConnection, Instant aNow)
 {
   if (!aConnection.m_lingering) {
     return;
@@ -461,8 +410,8 @@
     asio::steady_timer timer(aState->m_context, std::chrono::milliseconds(kTimeoutCheckMs));
     co_await timer.async_wait(kAsTuple);
     const Instant now = Clock::Now();
-    const std::set<ConnectionPtr> connections = aState->m_connections;
-    for (const ConnectionPtr& connection : connections) {
+    const std::set<HttpConnectionPtr> connections = aState->m_connections;
+    for (const HttpConnectionPtr& connection : connections) {
       ExtendLinger(*connection, now);
       const bool readOverdue = connection->m_readDeadline && now >= *connection->m_readDeadline;
       const bool writeOverdue = connection->m_writeDeadline && now >= *connection->m_writeDeadline;
@@ -478,7 +427,7 @@
 Awaitable<void>
 Serve(StatePtr aState, tcp::socket aSocket)
 {
-  const auto connection = std::make_shared<Connection>(std::move(aSocket));
+  const auto connection = std::make_shared<HttpConnection>(std::move(aSocket), aState->m_held);
   aState->m_connections.insert(connection);
   if (!aState->m_checkingTimeouts) {
     aState->m_checkingTimeouts = true;
@@ -501,9 +450,9 @@
     if (error == asio::error::operation_aborted) {
       co_return;
     }
-    if (error || aState->m_connections.size() >= aState->m_limits.m_maxConnections) {
-      // Out of descriptors or over the connection limit: an accepted socket is closed. Wait instead
-      // of spinning.
+    if (error || !MayKeep(*aState, socket)) {
+      // Out of descriptors or over a limit: an accepted socket is closed. Wait instead of spinning.
+      socket.close(error);
       asio::steady_timer backoff(aState->m_context, std::chrono::milliseconds(kAcceptBackoffMs));
       co_await backoff.async_wait(kAsTuple);
       continue;
@@ -543,11 +492,19 @@
   m_state->m_mayOverlap = std::move(aMayOverlap);
 }
 
+void
+HttpServer::SetBudget(std::shared_ptr<ByteBudget> aBudget)
+{
+  m_state->m_buffered.m_common = aBudget;
+  m_state->m_held.m_common = std::move(aBudget);
+}
+
 void
 HttpServer::SetLimits(const HttpLimits& aLimits)
 {
   m_state->m_limits = aLimits;
   m_state->m_buffered.m_max = aLimits.m_maxBufferedBytes;
+  m_state->m_held.m_max = aLimits.m_maxHeldBytes;
 }
 
 void
@@ -563,8 +520,8 @@
   m_state->m_stopping = true;
   error_code ignored;
   m_state->m_acceptor.close(ignored);
-  const std::set<ConnectionPtr> connections = m_state->m_connections;
-  for (const ConnectionPtr& connection : connections) {
+  const std::set<HttpConnectionPtr> connections = m_state->m_connections;
+  for (const HttpConnectionPtr& connection : connections) {
     connection->m_responseReady.Wake();
   }
 }
@@ -573,8 +530,8 @@
 HttpServer::CloseAll()
 {
   StopAccepting();
-  const std::set<ConnectionPtr> connections = m_state->m_connections;
-  for (const ConnectionPtr& connection : connections) {
+  const std::set<HttpConnectionPtr> connections = m_state->m_connections;
+  for (const HttpConnectionPtr& connection : connections) {
     Disconnect(*connection);
   }
 }
@@ -591,7 +548,25 @@
   return static_cast<std::size_t>(
     std::count_if(m_state->m_connections.begin(),
                   m_state->m_connections.end(),
-                  [](const ConnectionPtr& aConnection) { return Owes(*aConnection); }));
+                  [](const HttpConnectionPtr& aConnection) { return Owes(*aConnection); }));
+}
+
+const HttpCounts&
+HttpServer::Counts() const
+{
+  return m_state->m_counts;
+}
+
+std::uint64_t
+HttpServer::HeldBytes() const
+{
+  return m_state->m_held.m_used;
+}
+
+std::uint64_t
+HttpServer::BufferedBytes() const
+{
+  return m_state->m_buffered.m_used;
 }
 
 } // namespace sequoiastep::net
--- a/modules/node/include/Settings.h
+++ b/modules/node/include/Settings.h
@@ -21,6 +21,14 @@
   /// Memory that the node may use, in MB. A part of it is for large request bodies.
   std::uint64_t m_memoryMb = 512;
   std::uint64_t m_maxConnections = 4096;
+  /// Most memory for read buffers, headers and small bodies of requests, and answers that callers
+  /// have not taken yet, in MB; 0 means a quarter of m_memoryMb.
+  std::uint64_t m_callerMemoryMb = 0;
+  /// Descriptors that callers leave free for targets, other nodes, the log and admin requests, of
+  /// those that the process may open.
+  std::uint64_t m_reservedDescriptors = 64;
+  /// Maximum number of connections to the port for nodes that have yet to say which node they are.
+  std::uint64_t m_handshakes = 32;
   /// Maximum number of calls in progress that callers sent to this node.
   std::uint64_t m_maxCalls = 4096;
   /// Joining nodes answered per second; more are deferred.
@@ -42,6 +50,23 @@
   return (aLimits.m_memoryMb << 20U) / 8;
 }
 
+/// @return the most bytes of read buffers, headers, small bodies and unsent answers of callers that
+/// the node holds at a time.
+constexpr std::uint64_t
+MaxHeldBytes(const Limits& aLimits)
+{
+  const std::uint64_t all = aLimits.m_memoryMb << 20U;
+  return aLimits.m_callerMemoryMb > 0 ? aLimits.m_callerMemoryMb << 20U : all / 4;
+}
+
+/// @return the most bytes that all owners of requests and answers hold together, copies included.
+/// The rest of the memory is for what does not grow with them.
+constexpr std::uint64_t
+MaxCommonBytes(const Limits& aLimits)
+{
+  return (aLimits.m_memoryMb << 20U) / 4 * 3;
+}
+
 /// Intervals and timeouts, in milliseconds.
 struct Timings
 {
--- a/modules/node/src/AdminApi.cpp
+++ b/modules/node/src/AdminApi.cpp
@@ -234,6 +234,8 @@
   std::string text = ControlMetricsText(
     m_controlPlane.ControllerState(), m_controlPlane.Bytes(), m_controlPlane.LogCounts());
   text += m_controlPlane.LogMetricsText();
+  text +=
+    fmt::format("sequoiastep_peer_handshake_waits_total {}\n", m_controlPlane.HandshakeWaits());
   const std::string calls = co_await m_hooks.m_callMetrics();
   text += calls;
   co_return net::MakeResponse(http::status::ok, "text/plain; version=0.0.4", std::move(text));
--- a/modules/node/src/CallLinks.cpp
+++ b/modules/node/src/CallLinks.cpp
@@ -63,10 +63,14 @@
   std::set<asio::steady_timer*> m_waiters;
 };
 
-CallLinks::CallLinks(asio::io_context& aContext, Identity aIdentity, SharedState& aShared)
+CallLinks::CallLinks(asio::io_context& aContext,
+                     Identity aIdentity,
+                     SharedState& aShared,
+                     std::shared_ptr<net::ByteBudget> aBudget)
   : m_context(aContext)
   , m_identity(std::move(aIdentity))
   , m_shared(aShared)
+  , m_budget(std::move(aBudget))
 {
 }
 
@@ -78,6 +82,7 @@
   aLink->m_connecting = false;
   if (connection && hello.node == aNode && !m_stopped) {
     aLink->m_connection = std::move(connection);
+    aLink->m_connection->CountAgainst(m_budget);
     routing::RecordReceived(aLink->m_liveness, Clock::Now());
     aLink->m_connection->Start(
       [this, weak = std::weak_ptr<Link>(aLink)](wire::EnvelopeT aMessage) {
--- a/modules/node/src/CallLinks.h
+++ b/modules/node/src/CallLinks.h
@@ -43,7 +43,11 @@
 class CallLinks
 {
 public:
-  CallLinks(net::asio::io_context& aContext, Identity aIdentity, SharedState& aShared);
+  /// @param aBudget counts what the links hold.
+  CallLinks(net::asio::io_context& aContext,
+            Identity aIdentity,
+            SharedState& aShared,
+            std::shared_ptr<net::ByteBudget> aBudget);
 
   /// Sends aCall to the node at aAddress and waits for its answer. If the coroutine is cancelled or
   /// the wait times out, the peer is sent a Cancel message.
@@ -91,6 +95,7 @@
   net::asio::io_context& m_context;
   Identity m_identity;
   SharedState& m_shared;
+  std::shared_ptr<net::ByteBudget> m_budget;
   std::map<std::string, LinkPtr, std::less<>> m_links;
   /// All calls that wait for an answer, also on links that were dropped.
   std::set<PendingCall*> m_waiting;
--- a/modules/node/src/CallProxy.cpp
+++ b/modules/node/src/CallProxy.cpp
@@ -45,6 +45,17 @@
 constexpr std::string_view kReservedPrefix = "/.sequoiastep/";
 constexpr std::string_view kKeysPath = "/.sequoiastep/v1/keys";
 
+net::HttpLimits
+LimitsForCallers(const Limits& aLimits)
+{
+  return { .m_maxHeaderBytes = static_cast<std::uint32_t>(aLimits.m_maxHeaderBytes),
+           .m_maxBodyBytes = aLimits.m_maxBodyBytes,
+           .m_maxBufferedBytes = MaxBufferedBytes(aLimits),
+           .m_maxHeldBytes = MaxHeldBytes(aLimits),
+           .m_maxConnections = aLimits.m_maxConnections,
+           .m_reservedDescriptors = aLimits.m_reservedDescriptors };
+}
+
 } // namespace
 
 CallProxy::CallProxy(asio::io_context& aContext,
@@ -58,7 +69,8 @@
   , m_shared(aShared)
   , m_notifyControl(std::move(aNotifyControl))
   , m_random{ EntropySeed() }
-  , m_runner(aContext, aShared, m_metrics)
+  , m_budget(aSettings.m_limits)
+  , m_runner(aContext, aShared, m_metrics, m_budget.m_targets)
   , m_bodies(aContext, { .m_bytesPerMs = aSettings.m_linkMbps * kBytesPerMsPerMbps })
   , m_targetApi(aContext,
                 { .m_onChange = [this](const auto& aTarget) { UseTarget(aTarget); },
@@ -68,7 +80,7 @@
                                                                        .m_departure = aDeparture });
                     },
                   .m_probe = [this] { asio::co_spawn(m_context, ProbeTarget(), asio::detached); } })
-  , m_links(aContext, aIdentity, aShared)
+  , m_links(aContext, aIdentity, aShared, m_budget.m_links)
   , m_keyedCalls(aContext,
                  aIdentity.m_node,
                  aIdentity.m_incarnation,
@@ -83,10 +95,7 @@
         .m_retentionMs = static_cast<Milliseconds>(aSettings.m_limits.m_ownKeyRetentionMs) })
   , m_callerServer(
       aContext,
-      { .m_maxHeaderBytes = static_cast<std::uint32_t>(aSettings.m_limits.m_maxHeaderBytes),
-        .m_maxBodyBytes = aSettings.m_limits.m_maxBodyBytes,
-        .m_maxBufferedBytes = MaxBufferedBytes(aSettings.m_limits),
-        .m_maxConnections = aSettings.m_limits.m_maxConnections },
+      LimitsForCallers(aSettings.m_limits),
       [this](HttpRequest aRequest) { return HandleCallerRequest(std::move(aRequest)); },
       MakeBadRequest)
   , m_targetServer(
@@ -95,6 +104,7 @@
       [this](HttpRequest aRequest) { return m_targetApi.Handle(std::move(aRequest)); },
       MakeBadRequest)
 {
+  m_callerServer.SetBudget(m_budget.m_all);
   m_callerServer.SetOverlapFilter(
     [this](const HttpRequest& aRequest) { return MayOverlap(aRequest); });
 }
@@ -283,13 +293,12 @@
   }
   m_callerLimitsVersion = snapshot->m_version;
   const config::CallerLimits& limits = *snapshot->m_effective->m_callerLimits;
-  m_callerServer.SetLimits(
-    { .m_maxHeaderBytes = static_cast<std::uint32_t>(limits.m_maxHeaderBytes),
-      .m_maxBodyBytes = limits.m_maxBodyBytes,
-      .m_maxBufferedBytes = MaxBufferedBytes(m_settings.m_limits),
-      .m_idleTimeoutMs = static_cast<std::int64_t>(limits.m_idleTimeoutMs),
-      .m_headerTimeoutMs = static_cast<std::int64_t>(limits.m_headerTimeoutMs),
-      .m_maxConnections = m_settings.m_limits.m_maxConnections });
+  net::HttpLimits httpLimits = LimitsForCallers(m_settings.m_limits);
+  httpLimits.m_maxHeaderBytes = static_cast<std::uint32_t>(limits.m_maxHeaderBytes);
+  httpLimits.m_maxBodyBytes = limits.m_maxBodyBytes;
+  httpLimits.m_idleTimeoutMs = static_cast<std::int64_t>(limits.m_idleTimeoutMs);
+  httpLimits.m_headerTimeoutMs = static_cast<std::int64_t>(limits.m_headerTimeoutMs);
+  m_callerServer.SetLimits(httpLimits);
 }
 
 Awaitable<HttpResponse>
--- a/modules/node/src/CallProxy.h
+++ b/modules/node/src/CallProxy.h
@@ -12,6 +12,7 @@
 #include "Events.h"
 #include "HttpServer.h"
 #include "KeyedCalls.h"
+#include "NodeBudget.h"
 #include "Picker.h"
 #include "Random.h"
 #include "Retry.h"
@@ -143,7 +144,9 @@
                                  wire::CallT aCall,
                                  std::shared_ptr<TargetRun> aRun);
   net::Awaitable<std::optional<wire::AnswerT>> ReceiveBody(InboundLinkPtr aLink,
-                                                           wire::CallT& aCall);
+                                                           wire::CallT& aCall,
+                                                           net::BudgetShare& aShare);
+  wire::AnswerT RefuseBody(const wire::CallT& aCall, const std::string& aCaller);
   void Receive(const InboundLinkPtr& aLink, wire::EnvelopeT aMessage);
   routing::AttemptOutcome RecordOutcome(const CallJob& aJob,
                                         const wire::AnswerT& aAnswer,
@@ -172,6 +175,7 @@
   NotifyControl m_notifyControl;
   Random m_random;
   CallMetrics m_metrics;
+  NodeBudget m_budget;
   TargetRunner m_runner;
   BodyReceiver m_bodies;
   TargetApi m_targetApi;
@@ -201,6 +205,8 @@
   std::uint32_t m_callerRequests = 0;
   /// Calls of other nodes in progress.
   std::uint32_t m_inboundCalls = 0;
+  /// Calls of other nodes refused because there was no room for their bodies.
+  std::uint64_t m_bodiesRefused = 0;
   /// ProbeTarget is running.
   bool m_probing = false;
   bool m_stopped = false;
--- a/modules/node/src/CallProxyMetrics.cpp
+++ b/modules/node/src/CallProxyMetrics.cpp
@@ -36,6 +36,26 @@
   text += fmt::format("sequoiastep_target_leaving {}\n", notice.m_leaving ? 1 : 0);
   text += fmt::format("sequoiastep_remembered_keys {}\n", m_keyedCalls.ClaimCount());
   text += fmt::format("sequoiastep_call_links {}\n", m_links.LinkCount());
+  const auto held = [&](std::string_view aOwner, std::uint64_t aBytes) {
+    text += fmt::format("sequoiastep_held_bytes{{owner=\"{}\"}} {}\n", aOwner, aBytes);
+  };
+  held("callers", m_callerServer.HeldBytes());
+  held("request_bodies", m_callerServer.BufferedBytes());
+  held("targets", m_budget.m_targets->m_used);
+  held("links", m_budget.m_links->m_used);
+  held("remote_bodies", m_budget.m_bodies.m_used);
+  held("all_copies", m_budget.m_all->m_used);
+  text += fmt::format("sequoiastep_held_bytes_limit {}\n", m_budget.m_all->m_max);
+  const auto bounded = [&](std::string_view aWhat, std::uint64_t aCount) {
+    text += fmt::format("sequoiastep_bounds_total{{what=\"{}\"}} {}\n", aWhat, aCount);
+  };
+  const net::HttpCounts& counts = m_callerServer.Counts();
+  bounded("connection_closed_memory", counts.m_closedForMemory);
+  bounded("connection_closed_idle", counts.m_closedForConnections);
+  bounded("connection_refused", counts.m_refusedConnections);
+  bounded("request_refused_memory", counts.m_refusedForMemory);
+  bounded("request_refused_too_long", counts.m_refusedTooLong);
+  bounded("remote_body_refused", m_bodiesRefused);
   const LogCounts lines = CountsOfLog();
   text += fmt::format("sequoiastep_log_lines_suppressed_total {}\n", lines.m_suppressed);
   text += fmt::format("sequoiastep_log_lines_dropped_total {}\n", lines.m_dropped);
--- a/modules/node/src/CallProxyServe.cpp
+++ b/modules/node/src/CallProxyServe.cpp
@@ -3,6 +3,7 @@
 #include "CallProxy.h"
 #include "CallProxyPriv.h"
 #include "DelayEstimator.h"
+#include "Log.h"
 #include "Problem.h"
 
 #include <boost/asio/bind_cancellation_slot.hpp>
@@ -45,6 +46,7 @@
   link->m_crossRegion = aHello.region != m_identity.m_region;
   link->m_connection = std::make_unique<net::FrameConnection>(std::move(socket));
   routing::EstimateDelay(link->m_delayEstimator, aHello.sent_ms, Clock::Now());
+  link->m_connection->CountAgainst(m_budget.m_links);
   m_inboundLinks.insert(link);
   link->m_connection->Send(wire::EncodeFrame(MakeHello(m_identity, wire::Purpose::Calls)));
   link->m_connection->Start(
@@ -139,12 +141,32 @@
     asio::bind_cancellation_slot(run->m_cancel.slot(), [run](const std::exception_ptr&) {}));
 }
 
+// The answer to a call whose body would take more memory than there is.
+AnswerT
+CallProxy::RefuseBody(const CallT& aCall, const std::string& aCaller)
+{
+  ++m_bodiesRefused;
+  LogLine(LogLevel::Warning, "body_refused", "memory")
+    .Add("reason", "there is no room for the body")
+    .Add("peer", aCaller)
+    .Add("bytes", aCall.body_size);
+  AnswerT answer;
+  answer.outcome = CallOutcome::NotRun;
+  answer.overloaded = true;
+  answer.reason = "this node has no room for the body";
+  return answer;
+}
+
 // Receives the body that a call announces, unless the call would be refused afterwards. Returns the
 // answer to the call if it does not run.
 Awaitable<std::optional<AnswerT>>
-CallProxy::ReceiveBody(InboundLinkPtr aLink, CallT& aCall)
+CallProxy::ReceiveBody(InboundLinkPtr aLink, CallT& aCall, net::BudgetShare& aShare)
 {
   const Instant start = Clock::Now();
+  if (!m_budget.MayReceiveBody(aCall.body_size)) {
+    co_return RefuseBody(aCall, aLink->m_node);
+  }
+  aShare.Set(aCall.body_size);
   if (!aCall.forwarded) {
     std::optional<AnswerT> refusal =
       m_runner.RefuseEarly(aCall, aLink->m_node, m_bodies.TransferMs(aCall.body_size));
@@ -192,8 +214,9 @@
   AnswerT answer;
   const std::int64_t arrivedUs = Clock::NowMicroseconds();
   std::optional<AnswerT> refusal;
+  net::BudgetShare body(m_budget.m_bodies);
   if (aCall.body_size > 0) {
-    refusal = co_await ReceiveBody(aLink, aCall);
+    refusal = co_await ReceiveBody(aLink, aCall, body);
   }
   const auto bodyUs = static_cast<std::uint32_t>(Clock::NowMicroseconds() - arrivedUs);
   if (refusal) {
--- a/modules/node/src/ControlPlane.cpp
+++ b/modules/node/src/ControlPlane.cpp
@@ -5,6 +5,7 @@
 #include "Problem.h"
 #include "StoreCalls.h"
 
+#include <algorithm>
 #include <boost/json.hpp>
 #include <chrono>
 #include <fmt/core.h>
@@ -18,6 +19,10 @@
 
 namespace {
 
+// Longest publication that an operator may send, and what admin requests may take at least.
+constexpr std::uint64_t kAdminBodyBytes = 8U << 20;
+// Requests for metrics have no body.
+constexpr std::uint64_t kMetricsBodyBytes = 64U << 10;
 constexpr std::size_t kMailboxCapacity = 4096;
 
 distribution::ControllerOptions
@@ -259,6 +264,7 @@
   , m_shared(aShared)
   , m_links(
       aContext,
+      aSettings.m_limits.m_handshakes,
       [this](Event aEvent) { Feed(std::move(aEvent)); },
       std::move(aOnCallSocket))
   , m_mailbox(aContext, kMailboxCapacity, [this](Event aEvent) { Feed(std::move(aEvent)); })
@@ -271,6 +277,12 @@
   return fmt::format("{}.{}", m_settings.m_mesh, aName);
 }
 
+std::uint64_t
+ControlPlane::HandshakeWaits() const
+{
+  return m_links.HandshakeWaits();
+}
+
 Result<Identity>
 ControlPlane::Listen()
 {
@@ -279,7 +291,10 @@
   BOOST_LEAF_AUTO(peerEndpoint, m_links.Listen(peerAddress));
   m_adminServer = std::make_unique<net::HttpServer>(
     m_context,
-    net::HttpLimits{ .m_maxConnections = 64 },
+    net::HttpLimits{
+      .m_maxBufferedBytes = std::max(kAdminBodyBytes, MaxBufferedBytes(m_settings.m_limits)),
+      .m_maxHeldBytes = std::max(kAdminBodyBytes, MaxBufferedBytes(m_settings.m_limits)),
+      .m_maxConnections = 64 },
     [this](net::HttpRequest aRequest) { return m_admin->Handle(std::move(aRequest)); },
     MakeBadRequest);
   BOOST_LEAF_AUTO(adminEndpoint, m_adminServer->Listen(adminAddress));
@@ -307,7 +322,7 @@
   BOOST_LEAF_AUTO(address, net::ParseAddress(m_settings.m_metricsListen));
   m_metricsServer = std::make_unique<net::HttpServer>(
     m_context,
-    net::HttpLimits{ .m_maxConnections = 8 },
+    net::HttpLimits{ .m_maxBodyBytes = kMetricsBodyBytes, .m_maxConnections = 8 },
     [this](net::HttpRequest aRequest) { return m_admin->HandleMetrics(std::move(aRequest)); },
     MakeBadRequest);
   BOOST_LEAF_AUTO(endpoint, m_metricsServer->Listen(address));
--- a/modules/node/src/ControlPlane.h
+++ b/modules/node/src/ControlPlane.h
@@ -65,6 +65,8 @@
   platform::LogClientCounts LogCounts() const;
   /// @return the log client's metrics in Prometheus text format.
   std::string LogMetricsText() const;
+  /// @return how often accepting peers waited because too many had yet to send a Hello.
+  std::uint64_t HandshakeWaits() const;
 
 private:
   struct ActionVisitor;
--- a/modules/node/src/PeerLinks.cpp
+++ b/modules/node/src/PeerLinks.cpp
@@ -100,9 +100,13 @@
   co_return connection;
 }
 
-PeerLinks::PeerLinks(asio::io_context& aContext, OnEvent aOnEvent, OnCallSocket aOnCallSocket)
+PeerLinks::PeerLinks(asio::io_context& aContext,
+                     std::size_t aMaxHandshakes,
+                     OnEvent aOnEvent,
+                     OnCallSocket aOnCallSocket)
   : m_context(aContext)
   , m_acceptor(aContext)
+  , m_maxHandshakes(aMaxHandshakes)
   , m_onEvent(std::move(aOnEvent))
   , m_onCallSocket(std::move(aOnCallSocket))
 {
@@ -126,6 +130,15 @@
 PeerLinks::AcceptLoop()
 {
   while (!m_stopped) {
+    if (m_handshakes >= m_maxHandshakes) {
+      ++m_handshakeWaits;
+      LogLine(LogLevel::Warning, "peer_handshakes_full", "wait")
+        .Add("reason", "too many connections to the port for nodes have yet to send a Hello")
+        .Add("handshakes", m_handshakes);
+      asio::steady_timer retryTimer(m_context, std::chrono::milliseconds(kAcceptRetryDelayMs));
+      co_await retryTimer.async_wait(kAsTuple);
+      continue;
+    }
     auto [error, socket] = co_await m_acceptor.async_accept(kAsTuple);
     if (m_stopped || error == asio::error::operation_aborted) {
       co_return;
@@ -144,7 +157,9 @@
 {
   auto connection = std::make_unique<net::FrameConnection>(std::move(aSocket));
   wire::EnvelopeT message;
+  ++m_handshakes;
   const bool received = co_await connection->ReceiveOne(message, kHandshakeTimeoutMs);
+  --m_handshakes;
   if (!received || !IsAcceptableHello(m_identity, message) || m_stopped) {
     co_return;
   }
--- a/modules/node/src/PeerLinks.h
+++ b/modules/node/src/PeerLinks.h
@@ -56,7 +56,12 @@
   /// The Hello has not been answered yet.
   using OnCallSocket = std::function<void(int aDescriptor, wire::HelloT aHello)>;
 
-  PeerLinks(net::asio::io_context& aContext, OnEvent aOnEvent, OnCallSocket aOnCallSocket);
+  /// @param aMaxHandshakes maximum number of accepted connections that have yet to say which node
+  /// they come from; further ones wait.
+  PeerLinks(net::asio::io_context& aContext,
+            std::size_t aMaxHandshakes,
+            OnEvent aOnEvent,
+            OnCallSocket aOnCallSocket);
 
   /// Starts to accept connections from peers.
   /// @return the bound endpoint, or PortInUse.
@@ -74,6 +79,9 @@
   void Send(const std::string& aNode, const std::shared_ptr<const wire::EnvelopeT>& aMessage);
   /// Stops accepting and closes all connections.
   void Stop();
+  /// @return how often accepting waited because too many connections had yet to say which node they
+  /// come from.
+  std::uint64_t HandshakeWaits() const { return m_handshakeWaits; }
   /// @return the bytes so far, including those of closed connections.
   ControlBytes Bytes() const;
 
@@ -99,11 +107,15 @@
 
   net::asio::io_context& m_context;
   net::tcp::acceptor m_acceptor;
+  std::size_t m_maxHandshakes;
+  /// Accepted connections that have yet to say which node they come from.
+  std::size_t m_handshakes = 0;
   OnEvent m_onEvent;
   OnCallSocket m_onCallSocket;
   Identity m_identity;
   std::map<std::string, Peer> m_peers;
   ControlBytes m_closedBytes;
+  std::uint64_t m_handshakeWaits = 0;
   /// The message sent last and its frame, so that a message to many peers is encoded once.
   std::shared_ptr<const wire::EnvelopeT> m_lastEncodedMessage;
   std::string m_lastEncodedFrame;
--- a/modules/node/src/Settings.cpp
+++ b/modules/node/src/Settings.cpp
@@ -37,11 +37,14 @@
 
 constexpr std::uint64_t kDayMs = 86'400'000;
 
-constexpr std::array<NumberField<Limits>, 9> kLimitFields{ {
+constexpr std::array<NumberField<Limits>, 12> kLimitFields{ {
   { "max_body_bytes", &Limits::m_maxBodyBytes, 1024, 12U << 20 },
   { "max_header_bytes", &Limits::m_maxHeaderBytes, 1024, 1U << 20 },
   { "memory_mb", &Limits::m_memoryMb, 16, 1U << 20 },
   { "max_connections", &Limits::m_maxConnections, 1, 60'000 },
+  { "caller_memory_mb", &Limits::m_callerMemoryMb, 0, 1U << 20 },
+  { "reserved_descriptors", &Limits::m_reservedDescriptors, 0, 60'000 },
+  { "handshakes", &Limits::m_handshakes, 1, 60'000 },
   { "max_calls", &Limits::m_maxCalls, 1, 60'000 },
   { "joins_per_second", &Limits::m_joinsPerSecond, 1, 1000 },
   { "remembered_keys", &Limits::m_rememberedKeys, 1, 1'000'000 },
--- a/modules/node/src/TargetRunner.cpp
+++ b/modules/node/src/TargetRunner.cpp
@@ -86,10 +86,12 @@
 
 TargetRunner::TargetRunner(net::asio::io_context& aContext,
                            SharedState& aShared,
-                           CallMetrics& aMetrics)
+                           CallMetrics& aMetrics,
+                           std::shared_ptr<net::ByteBudget> aBudget)
   : m_context(aContext)
   , m_shared(aShared)
   , m_metrics(aMetrics)
+  , m_budget(std::move(aBudget))
 {
 }
 
@@ -120,6 +122,7 @@
                                 [](const Error&) { return net::tcp::endpoint(); });
     options.m_connectTimeoutMs = kConnectTimeoutMs;
     options.m_maxIdleConnections = aReport.m_slots;
+    options.m_budget = m_budget;
     m_client = std::make_shared<net::HttpClient>(m_context, options);
     m_leavingSince.reset();
     m_unreachableUntil = {};
--- a/modules/node/src/TargetRunner.h
+++ b/modules/node/src/TargetRunner.h
@@ -53,7 +53,11 @@
 {
 public:
   /// @param aMetrics must outlive this.
-  TargetRunner(net::asio::io_context& aContext, SharedState& aShared, CallMetrics& aMetrics);
+  /// @param aBudget counts the answers that are being received.
+  TargetRunner(net::asio::io_context& aContext,
+               SharedState& aShared,
+               CallMetrics& aMetrics,
+               std::shared_ptr<net::ByteBudget> aBudget);
 
   /// Applies the target's latest report.
   void SetTarget(const routing::TargetReport& aReport);
@@ -130,6 +134,7 @@
   net::asio::io_context& m_context;
   SharedState& m_shared;
   CallMetrics& m_metrics;
+  std::shared_ptr<net::ByteBudget> m_budget;
   routing::AdmissionQueue m_admissionQueue;
   routing::TargetReport m_target;
   routing::NoticeRecord m_notice;
--- a/modules/wire/include/Frame.h
+++ b/modules/wire/include/Frame.h
@@ -39,6 +39,9 @@
 class FrameReader
 {
 public:
+  /// Accepts no payload of more than aBytes from now on, before and after decompression; by default
+  /// kMaxFramePayloadBytes.
+  void SetMaxPayload(std::size_t aBytes) { m_maxPayload = aBytes; }
   /// Adds bytes received from the connection.
   void Feed(std::string_view aBytes);
 
@@ -52,6 +55,7 @@
 private:
   std::string m_buffer;
   std::size_t m_consumed = 0;
+  std::size_t m_maxPayload = kMaxFramePayloadBytes;
 };
 
 } // namespace sequoiastep::wire
--- a/modules/wire/src/Frame.cpp
+++ b/modules/wire/src/Frame.cpp
@@ -43,7 +43,7 @@
 }
 
 Result<FrameHeader>
-ParseHeader(std::string_view aBytes)
+ParseHeader(std::string_view aBytes, std::size_t aMaxPayload)
 {
   if (aBytes[0] != 'S' || aBytes[1] != 'Q') {
     return Fail(ErrorKind::BadFrame,
@@ -67,12 +67,12 @@
   if ((header.m_flags & ~kFlagCompressed) != 0) {
     return Fail(ErrorKind::BadFrame, "unknown frame flags; upgrade this node");
   }
-  if (header.m_length > kMaxFramePayloadBytes) {
+  if (header.m_length > aMaxPayload) {
     return Fail(
       ErrorKind::TooLarge,
       fmt::format("frame payload of {} bytes is over the limit of {}; send smaller bodies",
                   header.m_length,
-                  kMaxFramePayloadBytes));
+                  aMaxPayload));
   }
   return header;
 }
@@ -135,7 +135,7 @@
   if (unread.size() < kFrameHeaderBytes) {
     return std::optional<EnvelopeT>();
   }
-  BOOST_LEAF_AUTO(header, ParseHeader(unread));
+  BOOST_LEAF_AUTO(header, ParseHeader(unread, m_maxPayload));
   if (unread.size() - kFrameHeaderBytes < header.m_length) {
     return std::optional<EnvelopeT>();
   }
@@ -147,7 +147,7 @@
     BOOST_LEAF_AUTO(envelope, DecodePayload(aligned));
     return std::optional<EnvelopeT>(std::move(envelope));
   }
-  BOOST_LEAF_AUTO(plain, Decompress(payload, kMaxFramePayloadBytes));
+  BOOST_LEAF_AUTO(plain, Decompress(payload, m_maxPayload));
   BOOST_LEAF_AUTO(envelope, DecodePayload(plain));
   return std::optional<EnvelopeT>(std::move(envelope));
 }
