Return freed memory to the system; keep descriptors of callers low

Cause: the allocator raised its mmap threshold to the largest freed block and kept fragmented heaps, so that 16 MB of unsent answers took up to 135 MB. A connection kept in place of an idle one left a low descriptor free, so that the number of the next one no longer told how many were open. Change: fixed allocator thresholds at start, a trim at most once a second while connections are closed for memory; the kept socket moves to the lowest free descriptor. A request counts four times.

--- a/modules/net/src/HttpServerBounds.cpp
+++ b/modules/net/src/HttpServerBounds.cpp
@@ -3,16 +3,18 @@
 #include "Log.h"
 
 #include <algorithm>
+#include <fcntl.h>
 #include <limits>
 #include <sys/resource.h>
+#include <unistd.h>
 #include <utility>
 
 namespace sequoiastep::net {
 
 namespace {
 
-// A request's texts are held as received and as a call.
-constexpr std::uint64_t kCopiesOfRequest = 2;
+// A request is held as received, as a call, as an attempt and as it is sent.
+constexpr std::uint64_t kCopiesOfRequest = 4;
 // What a response takes besides its body, roughly.
 constexpr std::uint64_t kResponseHeaderBytes = 512;
 // A connection that waits for a request is not closed for a new one before it has waited this long.
@@ -141,6 +143,24 @@
   return true;
 }
 
+// Moves the socket to the lowest free descriptor, such as that of a connection just closed, so that
+// the number of a new descriptor goes on to tell how many are open.
+void
+UseLowestDescriptor(tcp::socket& aSocket)
+{
+  error_code error;
+  const tcp::endpoint local = aSocket.local_endpoint(error);
+  const int old = error ? -1 : aSocket.release(error);
+  if (error) {
+    return;
+  }
+  const int lowest = ::fcntl(old, F_DUPFD_CLOEXEC, 0); // NOLINT(cppcoreguidelines-pro-type-vararg)
+  if (lowest >= 0) {
+    ::close(old);
+  }
+  aSocket.assign(local.protocol(), lowest >= 0 ? lowest : old, error);
+}
+
 } // namespace
 
 void
@@ -220,6 +240,7 @@
     return true;
   }
   if (CloseLongestIdle(aState)) {
+    UseLowestDescriptor(aSocket);
     return true;
   }
   ++aState.m_counts.m_refusedConnections;
--- a/modules/node/src/CallProxy.cpp
+++ b/modules/node/src/CallProxy.cpp
@@ -7,6 +7,7 @@
 #include "Log.h"
 #include "Names.h"
 #include "Problem.h"
+#include "ProcessMemory.h"
 #include "TargetAnswer.h"
 
 #include <boost/beast/http/field.hpp>
@@ -165,6 +166,7 @@
 CallProxy::TickLoop()
 {
   Instant nextCloseIdle = Clock::Now() + kCloseIdleIntervalMs;
+  MemoryTrimmer trimmer;
   while (!m_stopped) {
     const bool busy = m_runner.Outstanding() > 0 || m_runner.Notice().m_perSecond;
     const Milliseconds pause = busy ? kBusyTickMs : kTickMs;
@@ -174,6 +176,7 @@
     m_bodies.SendGrants();
     m_targetApi.ExpireReport(Clock::Now());
     ApplyCallerLimits();
+    trimmer.Review(m_callerServer.Counts().m_closedForMemory, Clock::Now());
     if (routing::NeedsAnnouncement(m_announcedNotice, m_runner.Notice(), Clock::Now())) {
       AnnounceTarget();
     }
--- a/modules/node/src/Node.cpp
+++ b/modules/node/src/Node.cpp
@@ -4,6 +4,7 @@
 #include "ControlPlane.h"
 #include "DrainPlan.h"
 #include "Log.h"
+#include "ProcessMemory.h"
 
 #include <boost/asio/executor_work_guard.hpp>
 #include <boost/asio/post.hpp>
@@ -259,6 +260,7 @@
 RunNode(const Settings& aSettings, const std::string& aPath)
 {
   std::signal(SIGPIPE, SIG_IGN);
+  ReturnFreedMemory();
   // Never destroyed, since suspended coroutines refer to it until the process exits.
   static NodeProcess* process = nullptr;
   process = new NodeProcess(aSettings, aPath); // NOLINT(cppcoreguidelines-owning-memory)
