--- a/modules/net/src/HttpServer.cpp
+++ b/modules/net/src/HttpServer.cpp
@@ -4,6 +4,7 @@
 #include "Address.h"
 #include "HttpServerBounds.h"
 #include "HttpServerState.h"
+#include "Log.h"
 #include "SocketOptions.h"
 
 #include <algorithm>
@@ -70,14 +71,22 @@
           aError != http::error::end_of_stream && aError != http::error::partial_message);
 }
 
+// Counts and logs a request that was refused because of the server's bounds.
 void
-CountRefusal(HttpServerState& aState, const error_code& aError)
+RecordRefusal(HttpServerState& aState, const error_code& aError)
 {
   const http::status status = StatusForReadError(aError);
   if (status == http::status::service_unavailable) {
     ++aState.m_counts.m_refusedForMemory;
+    LogLine(LogLevel::Warning, "request_refused", "memory")
+      .Add("reason", "there is no room for the request")
+      .Add("held_bytes", aState.m_held.m_used)
+      .Add("body_bytes", aState.m_buffered.m_used);
   } else if (status == http::status::request_header_fields_too_large) {
     ++aState.m_counts.m_refusedTooLong;
+    LogLine(LogLevel::Warning, "request_refused", "length")
+      .Add("reason", "the header, the trailers or the framing of a chunk is too long")
+      .Add("limit_bytes", aState.m_limits.m_maxHeaderBytes);
   }
 }
 
@@ -281,7 +290,7 @@
     connection.m_exchanges.push_back(exchange);
     if (!request) {
       exchange->m_keepAlive = false;
-      CountRefusal(*aState, error);
+      RecordRefusal(*aState, error);
       SetResponse(*aState,
                   connection,
                   *exchange,
--- a/modules/wire/tests/FrameTest.cpp
+++ b/modules/wire/tests/FrameTest.cpp
@@ -93,6 +93,20 @@
   CHECK(errorOf(SampleFrame(5), 7, 0x7f) == ErrorKind::TooLarge);
 }
 
+TEST_CASE("a reader accepts no longer payload than was set, before any of it came")
+{
+  FrameReader reader;
+  reader.SetMaxPayload(1000);
+  reader.Feed(std::string_view("SQ\x01\x00\xe9\x03\x00\x00", 8)); // 1001 bytes.
+  const bool refused = Handle(
+    [&]() -> Result<bool> {
+      BOOST_LEAF_CHECK(reader.Next());
+      return false;
+    },
+    [](const Error& aError) { return aError.m_kind == ErrorKind::TooLarge; });
+  CHECK(refused);
+}
+
 TEST_CASE("mutated frames never crash the reader")
 {
   Random random{ 42 };
