Refuse a new request rather than close quick clients for it

Cause: many small requests in progress could use up the memory for callers, and then connections without a stall were closed for each new request. Change: for a request, only a connection without progress for 250 ms is closed.

--- a/modules/net/src/HttpServerBounds.cpp
+++ b/modules/net/src/HttpServerBounds.cpp
@@ -19,6 +19,10 @@
 constexpr std::uint64_t kResponseHeaderBytes = 512;
 // A connection that waits for a request is not closed for a new one before it has waited this long.
 constexpr Milliseconds kMinIdleMs = 1000;
+// For a new request, only a connection is closed whose client makes no progress for so long. Else
+// the new one is refused, so that many requests in progress don't close connections of quick
+// clients.
+constexpr Milliseconds kMinSlowMs = 250;
 // Of the common budget, a server closes connections only for what it holds beyond this part of its
 // own.
 constexpr std::uint64_t kCommonDivisor = 4;
@@ -51,7 +55,7 @@
 }
 
 HttpConnectionPtr
-Slowest(const HttpServerState& aState, const HttpConnection& aKept)
+Slowest(const HttpServerState& aState, const HttpConnection& aKept, Milliseconds aMinWaitMs)
 {
   const Instant now = Clock::Now();
   HttpConnectionPtr slowest;
@@ -62,7 +66,7 @@
       continue;
     }
     const std::pair<Milliseconds, std::uint64_t> cost(WaitOf(*connection, now), bytes);
-    if (!slowest || cost > most) {
+    if (cost.first >= aMinWaitMs && (!slowest || cost > most)) {
       slowest = connection;
       most = cost;
     }
@@ -90,12 +94,12 @@
 }
 
 // Closes the slowest connections until the server is within its bounds. Returns false if it is not,
-// though only aKept is left.
+// though no other than aKept is left that made no progress for aMinWaitMs.
 bool
-MakeRoom(HttpServerState& aState, const HttpConnection& aKept)
+MakeRoom(HttpServerState& aState, const HttpConnection& aKept, Milliseconds aMinWaitMs)
 {
   while (IsOver(aState)) {
-    const HttpConnectionPtr slowest = Slowest(aState, aKept);
+    const HttpConnectionPtr slowest = Slowest(aState, aKept, aMinWaitMs);
     if (!slowest) {
       return false;
     }
@@ -204,7 +208,7 @@
     kReadBufferBytes);
   const std::size_t capacity = aConnection.m_buffer.capacity();
   aConnection.m_readBuffer.Set(capacity - std::min(capacity, kReadBufferBytes));
-  return MakeRoom(aState, aConnection);
+  return MakeRoom(aState, aConnection, kMinSlowMs);
 }
 
 bool
@@ -214,7 +218,7 @@
             std::uint64_t aBytes)
 {
   aExchange.m_request.Set(aBytes * kCopiesOfRequest);
-  return MakeRoom(aState, aConnection);
+  return MakeRoom(aState, aConnection, kMinSlowMs);
 }
 
 void
@@ -225,7 +229,7 @@
   }
   aExchange.m_answer.Set(aExchange.m_response->body().size() + kResponseHeaderBytes);
   const bool several = UnsentBytes(aConnection) > aExchange.m_answer.Bytes();
-  if (!MakeRoom(aState, aConnection) && several) {
+  if (!MakeRoom(aState, aConnection, 0) && several) {
     CloseForRoom(aState, aConnection);
   }
 }
