Leave the number of allocator arenas alone

Cause: the limit of two arenas was not needed for the bound on memory, and threads shared locks by it. Change: the limit is gone.

--- a/modules/node/src/ProcessMemory.cpp
+++ b/modules/node/src/ProcessMemory.cpp
@@ -11,8 +11,6 @@
 // up to 135 MB.
 constexpr int kMmapThresholdBytes = 256 << 10;
 constexpr int kTrimThresholdBytes = 2 << 20;
-// The calls thread and the control thread; others allocate little.
-constexpr int kArenas = 2;
 constexpr Milliseconds kTrimIntervalMs = 1000;
 
 } // namespace
@@ -22,7 +20,6 @@
 {
   ::mallopt(M_MMAP_THRESHOLD, kMmapThresholdBytes);
   ::mallopt(M_TRIM_THRESHOLD, kTrimThresholdBytes);
-  ::mallopt(M_ARENA_MAX, kArenas);
 }
 
 void
