--- a/modules/node/src/AdminApi.cpp
+++ b/modules/node/src/AdminApi.cpp
@@ -272,6 +272,8 @@
     text += fmt::format("sequoiastep_rollout_orders_refused_total {}\n",
                         m_controlPlane.RefusedRolloutOrders());
   }
+  text +=
+    fmt::format("sequoiastep_peer_handshake_waits_total {}\n", m_controlPlane.HandshakeWaits());
   const std::string calls = co_await m_hooks.m_callMetrics();
   text += calls;
   co_return net::MakeResponse(http::status::ok, "text/plain; version=0.0.4", std::move(text));
--- a/modules/node/src/CallLinks.h
+++ b/modules/node/src/CallLinks.h
@@ -52,7 +52,11 @@
 class CallLinks
 {
 public:
-  CallLinks(net::asio::io_context& aContext, Identity aIdentity, SharedState& aShared);
+  /// @param aBudget counts what the links hold.
+  CallLinks(net::asio::io_context& aContext,
+            Identity aIdentity,
+            SharedState& aShared,
+            std::shared_ptr<net::ByteBudget> aBudget);
 
   /// Sends aCall to the node at aAddress and waits for its answer. If the coroutine is cancelled or
   /// the wait times out, the peer is sent a Cancel message.
@@ -115,6 +119,7 @@
   net::asio::io_context& m_context;
   Identity m_identity;
   SharedState& m_shared;
+  std::shared_ptr<net::ByteBudget> m_budget;
   std::map<std::string, LinkPtr, std::less<>> m_links;
   /// When a node was last found unreachable or silent; it has not been heard since.
   std::map<std::string, Instant, std::less<>> m_silentNodes;
--- a/modules/node/src/CallProxy.cpp
+++ b/modules/node/src/CallProxy.cpp
@@ -8,6 +8,7 @@
 #include "Log.h"
 #include "Names.h"
 #include "Problem.h"
+#include "ProcessMemory.h"
 #include "TargetAnswer.h"
 
 #include <boost/beast/http/field.hpp>
@@ -46,6 +47,17 @@
 constexpr std::string_view kReservedPrefix = "/.sequoiastep/";
 constexpr std::string_view kKeysPath = "/.sequoiastep/v1/keys";
 
+net::HttpLimits
+LimitsForCallers(const Limits& aLimits)
+{
+  return { .m_maxHeaderBytes = static_cast<std::uint32_t>(aLimits.m_maxHeaderBytes),
+           .m_maxBodyBytes = aLimits.m_maxBodyBytes,
+           .m_maxBufferedBytes = MaxBufferedBytes(aLimits),
+           .m_maxHeldBytes = MaxHeldBytes(aLimits),
+           .m_maxConnections = aLimits.m_maxConnections,
+           .m_reservedDescriptors = aLimits.m_reservedDescriptors };
+}
+
 } // namespace
 
 CallProxy::CallProxy(asio::io_context& aContext,
@@ -59,7 +71,8 @@
   , m_shared(aShared)
   , m_notifyControl(std::move(aNotifyControl))
   , m_random{ EntropySeed() }
-  , m_runner(aContext, aShared, m_metrics)
+  , m_budget(aSettings.m_limits)
+  , m_runner(aContext, aShared, m_metrics, m_budget.m_targets)
   , m_bodies(aContext, { .m_bytesPerMs = aSettings.m_linkMbps * kBytesPerMsPerMbps })
   , m_targetApi(aContext,
                 { .m_onChange = [this](const auto& aTarget) { UseTarget(aTarget); },
@@ -69,7 +82,7 @@
                                                                        .m_departure = aDeparture });
                     },
                   .m_probe = [this] { asio::co_spawn(m_context, ProbeTarget(), asio::detached); } })
-  , m_links(aContext, aIdentity, aShared)
+  , m_links(aContext, aIdentity, aShared, m_budget.m_links)
   , m_quotas(aContext, aSettings, aIdentity.m_node, aShared, m_links)
   , m_keyedCalls(aContext,
                  aIdentity.m_node,
@@ -85,10 +98,7 @@
         .m_retentionMs = static_cast<Milliseconds>(aSettings.m_limits.m_ownKeyRetentionMs) })
   , m_callerServer(
       aContext,
-      { .m_maxHeaderBytes = static_cast<std::uint32_t>(aSettings.m_limits.m_maxHeaderBytes),
-        .m_maxBodyBytes = aSettings.m_limits.m_maxBodyBytes,
-        .m_maxBufferedBytes = MaxBufferedBytes(aSettings.m_limits),
-        .m_maxConnections = aSettings.m_limits.m_maxConnections },
+      LimitsForCallers(aSettings.m_limits),
       [this](HttpRequest aRequest) { return HandleCallerRequest(std::move(aRequest)); },
       MakeBadRequest)
   , m_targetServer(
@@ -100,6 +110,7 @@
   if (m_settings.m_rollouts) {
     MakeRolloutCalls();
   }
+  m_callerServer.SetBudget(m_budget.m_all);
   m_callerServer.SetOverlapFilter(
     [this](const HttpRequest& aRequest) { return MayOverlap(aRequest); });
 }
@@ -160,6 +171,7 @@
 CallProxy::TickLoop()
 {
   Instant nextCloseIdle = Clock::Now() + kCloseIdleIntervalMs;
+  MemoryTrimmer trimmer;
   while (!m_stopped) {
     const bool busy = m_runner.Outstanding() > 0 || m_runner.Notice().m_perSecond;
     const Milliseconds pause = busy ? kBusyTickMs : kTickMs;
@@ -170,6 +182,7 @@
     m_targetApi.ExpireReport(Clock::Now());
     ApplyCallerLimits();
     m_quotas.Tick();
+    trimmer.Review(m_callerServer.Counts().m_closedForMemory, Clock::Now());
     if (routing::NeedsAnnouncement(m_announcedNotice, m_runner.Notice(), Clock::Now())) {
       AnnounceTarget();
     }
@@ -292,13 +305,12 @@
   }
   m_callerLimitsVersion = snapshot->m_version;
   const config::CallerLimits& limits = *snapshot->m_effective->m_callerLimits;
-  m_callerServer.SetLimits(
-    { .m_maxHeaderBytes = static_cast<std::uint32_t>(limits.m_maxHeaderBytes),
-      .m_maxBodyBytes = limits.m_maxBodyBytes,
-      .m_maxBufferedBytes = MaxBufferedBytes(m_settings.m_limits),
-      .m_idleTimeoutMs = static_cast<std::int64_t>(limits.m_idleTimeoutMs),
-      .m_headerTimeoutMs = static_cast<std::int64_t>(limits.m_headerTimeoutMs),
-      .m_maxConnections = m_settings.m_limits.m_maxConnections });
+  net::HttpLimits httpLimits = LimitsForCallers(m_settings.m_limits);
+  httpLimits.m_maxHeaderBytes = static_cast<std::uint32_t>(limits.m_maxHeaderBytes);
+  httpLimits.m_maxBodyBytes = limits.m_maxBodyBytes;
+  httpLimits.m_idleTimeoutMs = static_cast<std::int64_t>(limits.m_idleTimeoutMs);
+  httpLimits.m_headerTimeoutMs = static_cast<std::int64_t>(limits.m_headerTimeoutMs);
+  m_callerServer.SetLimits(httpLimits);
 }
 
 Awaitable<HttpResponse>
--- a/modules/node/src/TargetRunner.h
+++ b/modules/node/src/TargetRunner.h
@@ -55,7 +55,11 @@
 {
 public:
   /// @param aMetrics must outlive this.
-  TargetRunner(net::asio::io_context& aContext, SharedState& aShared, CallMetrics& aMetrics);
+  /// @param aBudget counts the answers that are being received.
+  TargetRunner(net::asio::io_context& aContext,
+               SharedState& aShared,
+               CallMetrics& aMetrics,
+               std::shared_ptr<net::ByteBudget> aBudget);
 
   /// The part of rollouts; all empty if the settings have none.
   struct RolloutHooks
@@ -146,6 +150,7 @@
   net::asio::io_context& m_context;
   SharedState& m_shared;
   CallMetrics& m_metrics;
+  std::shared_ptr<net::ByteBudget> m_budget;
   routing::AdmissionQueue m_admissionQueue;
   routing::TargetReport m_target;
   routing::NoticeRecord m_notice;
--- a/tools/StandInTarget.cpp
+++ b/tools/StandInTarget.cpp
@@ -53,6 +53,8 @@
   std::uint64_t m_failPercent = 0;
   /// How long the load endpoint repeats a measured load before it takes a new one.
   Milliseconds m_loadLagMs = 0;
+  /// Padding in the body of each answer, in bytes.
+  std::size_t m_answerBytes = 0;
 };
 
 class TargetServer
@@ -243,16 +245,17 @@
       ++m_failed;
       co_return net::MakeResponse(http::status::internal_server_error, "text/plain", "failed");
     }
+    json::object answer{ { "service", m_options.m_service },
+                         { "path", std::string_view(aRequest.target()) },
+                         { "request", id },
+                         { "workspace", Received(aRequest, "Sequoiastep-Tenant") },
+                         { "workspace_key", Received(aRequest, "Sequoiastep-Credential") },
+                         { "body", std::string_view(aRequest.body()) } };
+    if (m_options.m_answerBytes > 0) {
+      answer["padding"] = std::string(m_options.m_answerBytes, 'p');
+    }
     HttpResponse response =
-      net::MakeResponse(http::status::ok,
-                        "application/json",
-                        json::serialize(json::object{
-                          { "service", m_options.m_service },
-                          { "path", std::string_view(aRequest.target()) },
-                          { "request", id },
-                          { "workspace", Received(aRequest, "Sequoiastep-Tenant") },
-                          { "workspace_key", Received(aRequest, "Sequoiastep-Credential") },
-                          { "body", std::string_view(aRequest.body()) } }));
+      net::MakeResponse(http::status::ok, "application/json", json::serialize(answer));
     response.set("X-Request-Id", id);
     AddNotice(response);
     co_return response;
@@ -299,7 +302,8 @@
       .m_fixedLoad = aOptions.Number("claimed-load", -1),
       .m_version = aOptions.Text("version", ""),
       .m_failPercent = static_cast<std::uint64_t>(aOptions.Number("fail-percent", 0)),
-      .m_loadLagMs = aOptions.Number("load-lag-ms", 0) });
+      .m_loadLagMs = aOptions.Number("load-lag-ms", 0),
+      .m_answerBytes = static_cast<std::size_t>(aOptions.Number("answer-bytes", 0)) });
   net::HttpServer server(
     context,
     { .m_idleTimeoutMs = 600'000 },
