--- a/modules/node/src/QuotaClient.cpp
+++ b/modules/node/src/QuotaClient.cpp
@@ -18,7 +18,9 @@
 
 namespace {
 
-constexpr Milliseconds kAskTimeoutMs = 60;
+// Covers opening a link to another region and a slow host at its end: with 60 ms most first asks of
+// a node failed, although the owner was well.
+constexpr Milliseconds kAskTimeoutMs = 200;
 // A request waits for several asks only if others took the tokens of the earlier ones.
 constexpr int kMaxAskRounds = 4;
 constexpr Milliseconds kRetryAfterRoundsMs = 100;
