--- a/modules/node/src/TargetRunner.cpp
+++ b/modules/node/src/TargetRunner.cpp
@@ -344,19 +344,19 @@
 }
 
 routing::AdmissionRequest
-TargetRunner::MakeAdmissionRequest(const CallT& aCall, std::string aCaller)
+TargetRunner::MakeAdmissionRequest(const CallT& aCall, const std::string& aCaller)
 {
   const Instant now = Clock::Now();
   // Workspaces take turns in the queue, whichever nodes their requests come from.
-  routing::AdmissionRequest request{
-    .m_id = m_nextId++,
-    .m_caller = aCall.workspace.empty() ? std::move(aCaller) : aCall.workspace,
-    .m_priority = aCall.priority,
-    .m_continuesWork = IsCallOfTarget(aCall),
-    .m_serviceUs = routing::AverageOf(m_serviceUs, aCall.route).value_or(0),
-    .m_deadline = now + aCall.timeout_ms,
-    .m_maxWaitMs = static_cast<Milliseconds>(aCall.most_wait_ms)
-  };
+  routing::AdmissionRequest request{ .m_id = m_nextId++,
+                                     .m_caller =
+                                       aCall.workspace.empty() ? aCaller : aCall.workspace,
+                                     .m_priority = aCall.priority,
+                                     .m_continuesWork = IsCallOfTarget(aCall),
+                                     .m_serviceUs =
+                                       routing::AverageOf(m_serviceUs, aCall.route).value_or(0),
+                                     .m_deadline = now + aCall.timeout_ms,
+                                     .m_maxWaitMs = static_cast<Milliseconds>(aCall.most_wait_ms) };
   if (aCall.objective_ms != 0) {
     request.m_objective = now + aCall.objective_ms;
   }
--- a/modules/node/src/TargetRunner.h
+++ b/modules/node/src/TargetRunner.h
@@ -117,7 +117,8 @@
                                             std::shared_ptr<TargetRun> aRun);
   net::Awaitable<routing::AdmissionResult> Admit(routing::AdmissionRequest aRequest);
   bool IsCallOfTarget(const wire::CallT& aCall) const;
-  routing::AdmissionRequest MakeAdmissionRequest(const wire::CallT& aCall, std::string aCaller);
+  routing::AdmissionRequest MakeAdmissionRequest(const wire::CallT& aCall,
+                                                 const std::string& aCaller);
   net::Awaitable<wire::AnswerT> Dispatch(const wire::CallT& aCall,
                                          Instant aDeadline,
                                          std::shared_ptr<TargetRun> aRun);
