Take a quota's workspace from the call itself

Cause: Route read the workspace from the request's header again, although the call already carries it. Change: TakeQuotaToken uses the call's workspace. Behaviour is unchanged.

--- a/modules/node/src/CallProxy.h
+++ b/modules/node/src/CallProxy.h
@@ -172,7 +172,6 @@
                     std::int64_t aElapsedUs);
   net::HttpResponse RefuseOverQuota(const CallJob& aJob, const QuotaDecision& aDecision);
   net::Awaitable<std::optional<net::HttpResponse>> TakeQuotaToken(
-    std::string aWorkspace,
     std::shared_ptr<const config::Snapshot> aSnapshot,
     CallJob& aJob);
   void ReturnUnusedToken(const CallJob& aJob, const CallAttempts& aAttempts);
--- a/modules/node/src/CallProxyQuota.cpp
+++ b/modules/node/src/CallProxyQuota.cpp
@@ -21,15 +21,13 @@
 
 // Takes a token if the workspace of the request has a quota. Returns the response if it is refused.
 Awaitable<std::optional<HttpResponse>>
-CallProxy::TakeQuotaToken(std::string aWorkspace,
-                          std::shared_ptr<const config::Snapshot> aSnapshot,
-                          CallJob& aJob)
+CallProxy::TakeQuotaToken(std::shared_ptr<const config::Snapshot> aSnapshot, CallJob& aJob)
 {
-  if (!m_quotas.IsEnabled() || aWorkspace.empty()) {
+  if (!m_quotas.IsEnabled() || aJob.m_call.workspace.empty()) {
     co_return std::nullopt;
   }
   const config::Workspace* workspace =
-    config::FindWorkspace(aSnapshot->m_effective->m_workspaces, aWorkspace);
+    config::FindWorkspace(aSnapshot->m_effective->m_workspaces, aJob.m_call.workspace);
   if (workspace == nullptr || !config::HasQuota(*workspace)) {
     co_return std::nullopt;
   }
--- a/modules/node/src/CallProxyRoute.cpp
+++ b/modules/node/src/CallProxyRoute.cpp
@@ -205,8 +205,7 @@
       fmt::format("version {} has no route for this path and method", snapshot->m_version));
   }
   CallJob job = MakeJob(aRequest, *snapshot, *route);
-  std::string workspace(aRequest[adapter::kWorkspace]);
-  auto refusal = co_await TakeQuotaToken(std::move(workspace), snapshot, job);
+  auto refusal = co_await TakeQuotaToken(snapshot, job);
   if (refusal) {
     co_return std::move(*refusal);
   }
