Share the loop and the scripted server of the HTTP tests

Cause: RunUntil stood in two test files, and the scripted server is needed by further tests of the client. Change: both have a header of their own; no test is changed.

--- a/modules/net/tests/HttpBoundsTest.cpp
+++ b/modules/net/tests/HttpBoundsTest.cpp
@@ -1,6 +1,7 @@
 // Bounds of the HTTP server and client on what strangers send or leave unread.
 #include "HttpClient.h"
 #include "HttpServer.h"
+#include "RunUntil.h"
 
 #include <algorithm>
 #include <boost/asio/write.hpp>
@@ -61,21 +62,6 @@
   tcp::endpoint m_endpoint;
 };
 
-// Runs ready handlers until aDone returns true; returns false after too many iterations.
-template<typename Done>
-bool
-RunUntil(asio::io_context& aContext, Done aDone, int aMaxIterations = 20'000)
-{
-  for (int iteration = 0; iteration < aMaxIterations; ++iteration) {
-    if (aDone()) {
-      return true;
-    }
-    aContext.restart();
-    aContext.run_one_for(std::chrono::milliseconds(1));
-  }
-  return false;
-}
-
 void
 Request(tcp::socket& aSocket, std::size_t aAnswerBytes)
 {
--- a/modules/net/tests/HttpTest.cpp
+++ b/modules/net/tests/HttpTest.cpp
@@ -1,11 +1,9 @@
 // The HTTP server and client over loopback: pipelining, draining and reuse of connections.
-#include "HttpClient.h"
 #include "HttpServer.h"
+#include "ScriptedServer.h"
 
 #include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/asio/cancellation_signal.hpp>
-#include <boost/asio/read_until.hpp>
-#include <boost/asio/streambuf.hpp>
 #include <boost/asio/write.hpp>
 #include <doctest/doctest.h>
 #include <map>
@@ -64,21 +62,6 @@
   std::map<std::string, asio::steady_timer> m_held;
 };
 
-// Runs ready handlers until aDone returns true; returns false after too many iterations.
-template<typename Done>
-bool
-RunUntil(asio::io_context& aContext, Done aDone, int aMaxIterations = 20'000)
-{
-  for (int iteration = 0; iteration < aMaxIterations; ++iteration) {
-    if (aDone()) {
-      return true;
-    }
-    aContext.restart();
-    aContext.run_one_for(std::chrono::milliseconds(1));
-  }
-  return false;
-}
-
 std::string
 ReceiveUntil(asio::io_context& aContext, tcp::socket& aSocket, const std::string& aDelimiter)
 {
@@ -95,68 +78,6 @@
   return text;
 }
 
-// A server that sends the same response to every request and counts its connections.
-struct ScriptedServer
-{
-  ScriptedServer(asio::io_context& aContext, std::string aAnswer)
-    : m_acceptor(aContext, { asio::ip::make_address("127.0.0.1"), 0 })
-    , m_answer(std::move(aAnswer))
-  {
-    asio::co_spawn(aContext, Accept(), asio::detached);
-  }
-
-  Awaitable<void> Accept()
-  {
-    for (;;) {
-      auto [error, socket] = co_await m_acceptor.async_accept(kAsTuple);
-      if (error) {
-        co_return;
-      }
-      ++m_connections;
-      asio::co_spawn(m_acceptor.get_executor(), Serve(std::move(socket)), asio::detached);
-    }
-  }
-
-  Awaitable<void> Serve(tcp::socket aSocket)
-  {
-    asio::streambuf buffer;
-    for (;;) {
-      const auto [error, size] =
-        co_await asio::async_read_until(aSocket, buffer, "\r\n\r\n", kAsTuple);
-      if (error) {
-        co_return;
-      }
-      buffer.consume(size);
-      co_await asio::async_write(aSocket, asio::buffer(m_answer), kAsTuple);
-    }
-  }
-
-  tcp::acceptor m_acceptor;
-  std::string m_answer;
-  int m_connections = 0;
-};
-
-// Sends two requests in sequence.
-std::vector<HttpResult>
-SendTwice(ScriptedServer& aServer,
-          asio::io_context& aContext,
-          const HttpClient::ResponseMatcher& aMatches = {})
-{
-  HttpClient client(aContext, { .m_endpoint = aServer.m_acceptor.local_endpoint() });
-  std::vector<HttpResult> results;
-  const auto send = [&]() -> Awaitable<void> {
-    for (int i = 0; i < 2; ++i) {
-      HttpRequest request(http::verb::get, "/", 11);
-      request.set(http::field::host, "x");
-      HttpResult result = co_await client.Send(std::move(request), 5000, aMatches);
-      results.push_back(std::move(result));
-    }
-  };
-  asio::co_spawn(aContext, send, asio::detached);
-  RunUntil(aContext, [&] { return results.size() == 2; });
-  return results;
-}
-
 constexpr const char* kCompleteResponse =
   "HTTP/1.1 200 OK\r\nX-Id: a\r\nContent-Length: 2\r\n\r\nok";
 
