Reject a target's response whose status code is none

What callers saw: a target in trouble answered with status 000 in an otherwise sound response, and the caller got that response, from the node beside the target and from one of another region. The same held for every code from 000 to 099 and from 600 to 999. Cause: the parser takes any three digits as a status code, and the client passed on what the parser took, so that a response which is none in HTTP (RFC 9110, 15) counted as the target's answer: in target trust, averages, rollout evidence and stored responses of keys. With Sequoiastep-Not-Executed in it, it even counted as proof that the request was not run (503 not_run), and with Server-Leaving the target was taken out of use. Change: KindOfResponse says for each code what a response is. HttpClient, which reads all responses (of targets, health checks, the store and the admin interface), fails the request as BadResponse once the header shows that the response is invalid. All callers of the client take BadResponse for what it is: the outcome is unknown, the target failed, the connection is not used again. A response without a length no longer holds the request until its deadline (504).

--- a/modules/net/include/HttpClient.h
+++ b/modules/net/include/HttpClient.h
@@ -22,7 +22,8 @@
   Cancelled,
   /// Bytes of the request may have reached the server.
   MaybeSent,
-  /// The response was truncated, malformed, too long or belongs to another request.
+  /// The response was truncated, malformed, invalid (see ResponseStatus.h), too long or belongs to
+  /// another request.
   BadResponse,
   /// No complete response arrived in time; bytes of the request may have reached the server.
   TimedOut,
--- /dev/null
+++ b/modules/net/include/ResponseStatus.h
@@ -0,0 +1,25 @@
+/// @file
+/// Decides by its status code what a response is to its request (RFC 9110, 15).
+#pragma once
+
+#include <cstdint>
+
+namespace sequoiastep::net {
+
+/// What a response is to the request that it follows.
+enum class ResponseKind
+{
+  /// Precedes the final response to the same request.
+  Interim,
+  /// Answers the request.
+  Final,
+  /// No response in HTTP. Nothing that it says counts, and the request may have been executed.
+  Invalid,
+};
+
+/// @param aStatus status code of a response.
+/// @return what the response is. Codes without a registered meaning count as their class does.
+ResponseKind
+KindOfResponse(std::uint32_t aStatus);
+
+} // namespace sequoiastep::net
--- a/modules/net/src/HttpClient.cpp
+++ b/modules/net/src/HttpClient.cpp
@@ -1,6 +1,7 @@
 #include "HttpClient.h"
 
 #include "Clock.h"
+#include "ResponseStatus.h"
 #include "SocketOptions.h"
 
 #include <boost/asio/write.hpp>
@@ -160,12 +161,17 @@
 
 using ResponseParser = http::response_parser<http::string_body>;
 
-// Interim responses, such as 100 Continue, precede the final response.
+ResponseKind
+KindOf(const ResponseParser& aParser)
+{
+  return KindOfResponse(aParser.get().result_int());
+}
+
+// True once the header shows that the response is invalid: its body need not be received.
 bool
-IsInterim(const HttpResponse& aResponse)
+IsKnownInvalid(const ResponseParser& aParser)
 {
-  return http::to_status_class(aResponse.result()) == http::status_class::informational &&
-         aResponse.result() != http::status::switching_protocols;
+  return aParser.is_header_done() && KindOf(aParser) == ResponseKind::Invalid;
 }
 
 // Whether a large response must wait before more of it is read.
@@ -207,7 +213,7 @@
   co_return error_code();
 }
 
-// Reads one whole response; bounded in memory, whatever the server sends.
+// Reads one whole response; bounded in memory, whatever the server sends. Fails if it is invalid.
 Awaitable<error_code>
 ReadResponse(HttpClientState& aState, PooledPtr aConnection, ResponseParser& aParser)
 {
@@ -224,6 +230,9 @@
     if (error) {
       co_return error;
     }
+    if (IsKnownInvalid(aParser)) {
+      co_return http::error::bad_status;
+    }
     share.Set(std::max<std::uint64_t>(share.Bytes(), aParser.get().body().size()));
     if (aState.m_receiving.m_used > aState.m_receiving.m_max) {
       co_return http::error::body_limit;
@@ -245,7 +254,7 @@
     aParser->skip(aHead);
     aParser->eager(true); // Parses all that a read brought, however small its chunks are.
     const error_code error = co_await ReadResponse(aState, aConnection, *aParser);
-    if (error || !IsInterim(aParser->get())) {
+    if (error || KindOf(*aParser) != ResponseKind::Interim) {
       co_return error;
     }
   }
--- a/tools/Hostile.cpp
+++ b/tools/Hostile.cpp
@@ -13,7 +13,9 @@
 #include <cstdint>
 #include <cstdio>
 #include <fmt/core.h>
+#include <fstream>
 #include <functional>
+#include <iterator>
 #include <map>
 #include <memory>
 #include <string>
@@ -47,6 +49,8 @@
   std::string m_path;
   /// Size of the bodies that clients announce or send.
   std::size_t m_bodyBytes = 0;
+  /// File that holds the bytes of a target's answer; read anew for each answer.
+  std::string m_answerFile;
   Instant m_deadline;
 };
 
@@ -349,6 +353,29 @@
   co_await SendEndless(aClient, std::string(kChunkedAnswer), "10\r\nxxxxxxxxxxxxxxxx\r\n");
 }
 
+// The bytes of a file; empty if it can't be read.
+std::string
+ReadFile(const std::string& aPath)
+{
+  std::ifstream file(aPath, std::ios::binary);
+  return { std::istreambuf_iterator<char>(file), std::istreambuf_iterator<char>() };
+}
+
+// The bytes of a file to each request, on connections that stay open.
+Awaitable<void>
+AnswerFile(Client& aClient)
+{
+  std::array<char, 4096> bytes{};
+  bool open = true;
+  while (open) {
+    const std::string answer = ReadFile(aClient.m_options.m_answerFile);
+    open = co_await Send(aClient, answer);
+    const auto [error, size] =
+      co_await aClient.m_socket.async_read_some(asio::buffer(bytes), kAsTuple);
+    open = open && !error;
+  }
+}
+
 struct Behaviour
 {
   Play m_play;
@@ -388,6 +415,7 @@
     { "extensions", { .m_play = AnswerExtensions } },
     { "interim", { .m_play = AnswerInterim } },
     { "body", { .m_play = AnswerBody } },
+    { "file", { .m_play = AnswerFile } },
   };
   return kBehaviours;
 }
@@ -474,6 +502,7 @@
                               .m_path = aOptions.Text("path", "/"),
                               .m_bodyBytes =
                                 static_cast<std::size_t>(aOptions.Number("body-bytes", 0)),
+                              .m_answerFile = aOptions.Text("answer-file", ""),
                               .m_deadline = Clock::Now() + lifetimeMs };
   CrowdCounts counts;
   tcp::acceptor acceptor(context);
