--- a/modules/net/tests/BrokenResponseTest.cpp
+++ b/modules/net/tests/BrokenResponseTest.cpp
@@ -92,6 +92,18 @@
   }
 }
 
+// Guards against interim responses of other codes than 100, 102 and 103, which were given to
+// callers as the final answer.
+TEST_CASE("interim responses of any code precede the final response")
+{
+  for (int status = 100; status < 200; ++status) {
+    if (status != 101) {
+      const std::string interim = fmt::format("HTTP/1.1 {} Interim\r\nX-Note: a\r\n\r\n", status);
+      CheckFinal(interim + kFinalResponse, 200);
+    }
+  }
+}
+
 TEST_CASE("every status code from 200 to 599 may be final, also those without a registered meaning")
 {
   for (const unsigned status : { 200U, 218U, 299U, 399U, 418U, 499U, 500U, 599U }) {
--- a/tests/whole/broken-answers.sh
+++ b/tests/whole/broken-answers.sh
@@ -88,7 +88,7 @@
 broken "control byte in the reason" 'HTTP/1.1 200 O\001K\r\nContent-Length: 5\r\n\r\nwrong'
 broken "two lengths" 'HTTP/1.1 200 OK\r\nContent-Length: 5\r\nContent-Length: 4\r\n\r\nwrong'
 broken "broken chunk" 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nz\r\nwrong\r\n0\r\n\r\n'
-for status in 100; do
+for status in 100 103 104 199; do
   answer "HTTP/1.1 $status Interim\r\nX-Note: a\r\n\r\n$SOUND"
   ask_all "interim status $status" "200  sound"
 done
