Reject 101 as an answer to a request that asked for no other protocol

What callers saw: a target answered with 101 Switching Protocols, and the caller got that as the final answer. The caller's client then stops to speak HTTP on a connection on which the node goes on to do so. Cause: the client took 101 out of the interim responses, so it passed as final. No request asks a target for another protocol, as Upgrade is not forwarded, so no 101 can answer one. Change: KindOfResponse counts 101 as invalid: the request fails as BadResponse and its outcome is unknown. Evidence: before the change the new unit test "a switch to a protocol that no request asked for" fails, and broken-answers.sh got 101 in place of 502 on both kinds of route through both nodes. Measured: all cases of BrokenResponseTest and broken-answers.sh pass.

--- a/modules/net/include/ResponseStatus.h
+++ b/modules/net/include/ResponseStatus.h
@@ -13,7 +13,9 @@
   Interim,
   /// Answers the request.
   Final,
-  /// No response in HTTP. Nothing that it says counts, and the request may have been executed.
+  /// No response in HTTP, or 101, which ends the use of HTTP on its connection and answers only
+  /// requests that ask for another protocol. Nothing that it says counts, and the request may have
+  /// been executed.
   Invalid,
 };
 
--- a/modules/net/src/ResponseStatus.cpp
+++ b/modules/net/src/ResponseStatus.cpp
@@ -7,6 +7,7 @@
 constexpr std::uint32_t kMinStatus = 100;
 constexpr std::uint32_t kMaxStatus = 599;
 constexpr std::uint32_t kMinFinalStatus = 200;
+// Ends the use of HTTP on the connection. No request asks for another protocol.
 constexpr std::uint32_t kSwitchingProtocols = 101;
 
 } // namespace
@@ -14,13 +15,10 @@
 ResponseKind
 KindOfResponse(std::uint32_t aStatus)
 {
-  if (aStatus < kMinStatus || aStatus > kMaxStatus) {
+  if (aStatus < kMinStatus || aStatus > kMaxStatus || aStatus == kSwitchingProtocols) {
     return ResponseKind::Invalid;
   }
-  if (aStatus < kMinFinalStatus && aStatus != kSwitchingProtocols) {
-    return ResponseKind::Interim;
-  }
-  return ResponseKind::Final;
+  return aStatus < kMinFinalStatus ? ResponseKind::Interim : ResponseKind::Final;
 }
 
 } // namespace sequoiastep::net
--- a/modules/net/tests/BrokenResponseTest.cpp
+++ b/modules/net/tests/BrokenResponseTest.cpp
@@ -92,6 +92,15 @@
   }
 }
 
+// Guards against 101, which was given to callers as the final answer.
+TEST_CASE("a switch to a protocol that no request asked for fails the request")
+{
+  CheckBroken("HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n");
+  CheckBroken(
+    std::string("HTTP/1.1 101 Switching Protocols\r\nConnection: upgrade\r\nUpgrade: x\r\n\r\n") +
+    kFinalResponse);
+}
+
 // Guards against interim responses of other codes than 100, 102 and 103, which were given to
 // callers as the final answer.
 TEST_CASE("interim responses of any code precede the final response")
--- a/tests/whole/broken-answers.sh
+++ b/tests/whole/broken-answers.sh
@@ -68,7 +68,7 @@
 wait_for 10 served_by 1 || fail "node 1 does not serve: $(ask 1 /broken/1)"
 wait_for 10 served_by 3 || fail "node 3 does not serve: $(ask 3 /broken/1)"
 ask_all "sound answer" "200  sound"
-for status in 000 099 600 999; do
+for status in 000 099 101 600 999; do
   broken "status $status" "HTTP/1.1 $status Odd\r\nContent-Length: 5\r\n\r\nwrong"
 done
 for status in 0 20 2000 abc; do
