Check the response in an answer of another node

What callers saw: a node of this version beside one that still runs the version before handed on what that one took from its target: 000, 101, 103 or 700 as the answer to a plain request, and the same as the stored response of an idempotency key that the older node owns. A target that answered so kept its trust at the near node, and a repeatable request was not repeated elsewhere. Cause: the near node took the status code and the body in an Answer frame for a response without a look at them. A body in a 204 or 304 would even have thrown while the response was made. An invalid one is logged (call_answer_invalid) and is a failed attempt whose request may have run: repeated elsewhere if it may be, else 502 unknown. What it says of the target's limit or leaving is not remembered. CallReply moves to a file of its own with the answers that follow from each kind of reply.

--- a/modules/net/include/ResponseStatus.h
+++ b/modules/net/include/ResponseStatus.h
@@ -2,6 +2,7 @@
 /// Decides by its status code what a response is to its request (RFC 9110, 15).
 #pragma once
 
+#include <cstddef>
 #include <cstdint>
 
 namespace sequoiastep::net {
@@ -24,4 +25,10 @@
 ResponseKind
 KindOfResponse(std::uint32_t aStatus);
 
+/// @return true if a response with this status code and a body of this size can be the final one
+/// to a request: its code is one of a final response, and it has no body where the code rules that
+/// out (RFC 9110, 6.4.1).
+bool
+IsFinalResponse(std::uint32_t aStatus, std::size_t aBodyBytes);
+
 } // namespace sequoiastep::net
--- a/modules/net/src/ResponseStatus.cpp
+++ b/modules/net/src/ResponseStatus.cpp
@@ -9,6 +9,8 @@
 constexpr std::uint32_t kMinFinalStatus = 200;
 // Ends the use of HTTP on the connection. No request asks for another protocol.
 constexpr std::uint32_t kSwitchingProtocols = 101;
+constexpr std::uint32_t kNoContent = 204;
+constexpr std::uint32_t kNotModified = 304;
 
 } // namespace
 
@@ -21,4 +23,11 @@
   return aStatus < kMinFinalStatus ? ResponseKind::Interim : ResponseKind::Final;
 }
 
+bool
+IsFinalResponse(std::uint32_t aStatus, std::size_t aBodyBytes)
+{
+  const bool mayHaveBody = aStatus != kNoContent && aStatus != kNotModified;
+  return KindOfResponse(aStatus) == ResponseKind::Final && (mayHaveBody || aBodyBytes == 0);
+}
+
 } // namespace sequoiastep::net
--- a/modules/node/src/CallLinks.cpp
+++ b/modules/node/src/CallLinks.cpp
@@ -28,6 +28,16 @@
 // How long a link without calls stays open after an ask for quota tokens.
 constexpr Milliseconds kAskLinkIdleMs = 30'000;
 
+void
+LogInvalidAnswer(std::string_view aNode, std::string_view aRequestId, const wire::AnswerT& aAnswer)
+{
+  LogLine(LogLevel::Warning, "call_answer_invalid", aNode)
+    .Add("id", aRequestId)
+    .Add("peer", aNode)
+    .Add("status", aAnswer.status)
+    .Add("bytes", aAnswer.body.size());
+}
+
 } // namespace
 
 // A call that waits for its answer. The wait ends when the timer expires or is cancelled.
@@ -224,6 +234,8 @@
     const Milliseconds left = std::max<Milliseconds>(1, *m_answerBy - Clock::Now());
     aCall.timeout_ms = std::min(aCall.timeout_ms, static_cast<std::uint32_t>(left));
   }
+  const bool forwarded = aCall.forwarded;
+  const std::string requestId = aCall.request_id;
   aCall.id = m_nextId++;
   aCall.sent_ms = Clock::Now().m_ms;
   const std::uint64_t id = aCall.id;
@@ -262,6 +274,11 @@
   if (pending.m_reply.m_kind == CallReply::Kind::TimedOut && !pending.MayRun()) {
     pending.m_reply.m_kind = CallReply::Kind::BodyNotTaken;
   }
+  if (pending.m_reply.m_kind == CallReply::Kind::Answered &&
+      !IsValidAnswer(pending.m_reply.m_answer, forwarded)) {
+    pending.m_reply.m_kind = CallReply::Kind::InvalidAnswer;
+    LogInvalidAnswer(aNode, requestId, pending.m_reply.m_answer);
+  }
   co_return std::move(pending.m_reply);
 }
 
--- a/modules/node/src/CallLinks.h
+++ b/modules/node/src/CallLinks.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "AsioTypes.h"
+#include "CallReply.h"
 #include "FrameConnection.h"
 #include "PeerLinks.h"
 #include "SharedState.h"
@@ -18,27 +19,6 @@
 
 namespace sequoiastep::node {
 
-/// Result of a call to another node.
-struct CallReply
-{
-  enum class Kind
-  {
-    /// m_answer holds the answer.
-    Answered,
-    /// The node could not be reached or gave no sign of life: nothing of the call was sent.
-    NotSent,
-    /// The link was closed, or the peer fell silent, after the call was sent.
-    LinkBroken,
-    /// No answer came in time.
-    TimedOut,
-    /// The node did not take the whole body in time, so that the request can't run there.
-    BodyNotTaken,
-  };
-
-  Kind m_kind = Kind::NotSent;
-  wire::AnswerT m_answer;
-};
-
 /// Nodes that this one tried to reach over call links lately, itself not included.
 struct LinkSample
 {
--- a/modules/node/src/CallProxyKeys.cpp
+++ b/modules/node/src/CallProxyKeys.cpp
@@ -139,6 +139,14 @@
 HttpResponse
 CallProxy::ResponseFromReply(const CallReply& aReply)
 {
+  if (aReply.m_kind == CallReply::Kind::InvalidAnswer) {
+    CountOutcome(CallOutcome::Unknown);
+    return MakeProblem(
+      http::status::bad_gateway,
+      CallOutcome::Unknown,
+      "the node that owns this key handed on an invalid response; the request may have been run, "
+      "ask the service before sending it under a new key");
+  }
   if (aReply.m_kind != CallReply::Kind::Answered) {
     CountOutcome(CallOutcome::Unknown);
     return MakeUnknownProblem(
--- a/modules/node/src/CallProxyRoute.cpp
+++ b/modules/node/src/CallProxyRoute.cpp
@@ -291,35 +291,11 @@
   if (crossesRegion) {
     m_shared.m_calls.m_crossRegionBytes.fetch_add(sentBytes + reply.m_answer.body.size());
   }
-  AnswerT answer;
-  switch (reply.m_kind) {
-    case CallReply::Kind::Answered:
-      if (const auto& notice = reply.m_answer.notice) {
-        routing::Remember(m_noticeMemory, aTarget.m_node, FromWire(*notice), Clock::Now());
-      }
-      co_return std::move(reply.m_answer);
-    case CallReply::Kind::NotSent:
-      answer.outcome = CallOutcome::NotRun;
-      answer.reason = "the node beside the target can't be reached";
-      break;
-    case CallReply::Kind::LinkBroken:
-      answer.outcome = CallOutcome::Unknown;
-      answer.arrived = true;
-      answer.reason = "the link to the node beside the target broke after the call was sent";
-      break;
-    case CallReply::Kind::TimedOut:
-      answer.outcome = CallOutcome::Unknown;
-      answer.arrived = true;
-      answer.timed_out = true;
-      answer.reason = "no answer came within the deadline";
-      break;
-    case CallReply::Kind::BodyNotTaken:
-      answer.outcome = CallOutcome::NotRun;
-      answer.overloaded = true;
-      answer.reason = "the node beside the target did not take the body in time";
-      break;
+  if (const auto& notice = reply.m_answer.notice;
+      notice && reply.m_kind == CallReply::Kind::Answered) {
+    routing::Remember(m_noticeMemory, aTarget.m_node, FromWire(*notice), Clock::Now());
   }
-  co_return answer;
+  co_return AnswerFrom(std::move(reply));
 }
 
 // Classifies the answer of an attempt and updates the target's statistics.
