--- a/modules/net/tests/BrokenResponseTest.cpp
+++ b/modules/net/tests/BrokenResponseTest.cpp
@@ -27,33 +27,42 @@
   return "HTTP/1.1 200 OK\r\n" + aLine + "\r\nContent-Length: 4\r\n\r\nbody";
 }
 
-// Expects that both of two requests to a server with this answer fail at once, and that the second
-// one does not use the connection of the first.
+// What became of two requests to a server that gives this answer.
+struct TwoResults
+{
+  explicit TwoResults(const std::string& aAnswer)
+  {
+    asio::io_context context(1);
+    ScriptedServer server(context, aAnswer);
+    m_results = SendTwice(server, context);
+    m_connections = server.m_connections;
+    REQUIRE(m_results.size() == 2);
+  }
+
+  std::vector<HttpResult> m_results;
+  int m_connections = 0;
+};
+
+// Expects that requests get this answer rejected, and its connection is not used again.
 void
 CheckBroken(const std::string& aAnswer)
 {
   CAPTURE(aAnswer);
-  asio::io_context context(1);
-  ScriptedServer server(context, aAnswer);
-  const auto results = SendTwice(server, context);
-  REQUIRE(results.size() == 2);
-  for (const HttpResult& result : results) {
+  const TwoResults two(aAnswer);
+  for (const HttpResult& result : two.m_results) {
     CHECK_FALSE(result.m_response);
     CHECK(result.m_failure == HttpFailure::BadResponse);
   }
-  CHECK(server.m_connections == 2);
+  CHECK(two.m_connections == 2);
 }
 
-// Expects that both of two requests to a server with this answer get the final response.
+// Expects that requests get a final response of this status from this answer.
 void
 CheckFinal(const std::string& aAnswer, unsigned aStatus)
 {
   CAPTURE(aAnswer);
-  asio::io_context context(1);
-  ScriptedServer server(context, aAnswer);
-  const auto results = SendTwice(server, context);
-  REQUIRE(results.size() == 2);
-  for (const HttpResult& result : results) {
+  const TwoResults two(aAnswer);
+  for (const HttpResult& result : two.m_results) {
     REQUIRE(result.m_response);
     CHECK(result.m_response->result_int() == aStatus);
   }
--- a/modules/node/src/CallReply.cpp
+++ b/modules/node/src/CallReply.cpp
@@ -3,12 +3,38 @@
 #include "ResponseStatus.h"
 
 #include <fmt/core.h>
+#include <string>
+#include <utility>
 
 namespace sequoiastep::node {
 
 using wire::AnswerT;
 using wire::CallOutcome;
 
+namespace {
+
+AnswerT
+MakeNotRun(std::string aReason)
+{
+  AnswerT answer;
+  answer.outcome = CallOutcome::NotRun;
+  answer.reason = std::move(aReason);
+  return answer;
+}
+
+// The request may have reached the target.
+AnswerT
+MakeUnknown(std::string aReason)
+{
+  AnswerT answer;
+  answer.outcome = CallOutcome::Unknown;
+  answer.arrived = true;
+  answer.reason = std::move(aReason);
+  return answer;
+}
+
+} // namespace
+
 bool
 IsValidAnswer(const AnswerT& aAnswer, bool aForwarded)
 {
@@ -24,32 +50,22 @@
     case CallReply::Kind::Answered:
       return std::move(aReply.m_answer);
     case CallReply::Kind::NotSent:
-      answer.outcome = CallOutcome::NotRun;
-      answer.reason = "the node beside the target can't be reached";
-      break;
+      return MakeNotRun("the node beside the target can't be reached");
     case CallReply::Kind::LinkBroken:
-      answer.outcome = CallOutcome::Unknown;
-      answer.arrived = true;
-      answer.reason = "the link to the node beside the target broke after the call was sent";
-      break;
+      return MakeUnknown("the link to the node beside the target broke after the call was sent");
     case CallReply::Kind::TimedOut:
-      answer.outcome = CallOutcome::Unknown;
-      answer.arrived = true;
+      answer = MakeUnknown("no answer came within the deadline");
       answer.timed_out = true;
-      answer.reason = "no answer came within the deadline";
       break;
     case CallReply::Kind::BodyNotTaken:
-      answer.outcome = CallOutcome::NotRun;
+      answer = MakeNotRun("the node beside the target did not take the body in time");
       answer.overloaded = true;
-      answer.reason = "the node beside the target did not take the body in time";
       break;
     case CallReply::Kind::InvalidAnswer:
-      answer.outcome = CallOutcome::Unknown;
-      answer.arrived = true;
-      answer.reason = fmt::format(
+      answer = MakeUnknown(fmt::format(
         "the node beside the target handed on an invalid response (status {}, {} bytes)",
         aReply.m_answer.status,
-        aReply.m_answer.body.size());
+        aReply.m_answer.body.size()));
       break;
   }
   return answer;
