Name the header of the outcome in one place; test versions that are none

Cause: three sources had the header's name of their own, and copied it into a string for each look-up. Change: kOutcomeHeader stands in Problem.h. Six status lines with a version that HTTP/1.1 has not are kept as tests; they were rejected before.

--- a/modules/net/tests/BrokenResponseTest.cpp
+++ b/modules/net/tests/BrokenResponseTest.cpp
@@ -99,6 +99,10 @@
   for (const char* status : { "", "0", "20", "2000", "-01", "2 0", "2OO", "0x2" }) {
     CheckBroken(WithStatus(status));
   }
+  for (const char* version :
+       { "HTTP/0.9", "HTTP/1.2", "HTTP/2.0", "HTTP/1", "http/1.1", " HTTP/1.1" }) {
+    CheckBroken(fmt::format("{} 200 OK\r\nContent-Length: 4\r\n\r\nbody", version));
+  }
 }
 
 // Guards against 101, which was given to callers as the final answer.
--- a/modules/node/src/CallProxyKeys.cpp
+++ b/modules/node/src/CallProxyKeys.cpp
@@ -18,7 +18,6 @@
 
 namespace {
 
-constexpr std::string_view kOutcomeHeader = "Sequoiastep-Outcome";
 constexpr Milliseconds kForwardTimeoutMs = 30'000;
 // Nodes of a region that claim the keys of one claim stream.
 constexpr std::size_t kClaimNodes = 2;
@@ -156,7 +155,7 @@
   CountOutcome(aReply.m_answer.outcome);
   HttpResponse response = ResponseFrom(aReply.m_answer);
   if (aReply.m_answer.outcome != CallOutcome::Done) {
-    response.set(std::string(kOutcomeHeader), NameOf(aReply.m_answer.outcome));
+    response.set(kOutcomeHeader, NameOf(aReply.m_answer.outcome));
   }
   return response;
 }
@@ -262,7 +261,7 @@
   const bool claimed = aCall.claimed;
   HttpResponse response = co_await HandleForwarded(RequestFrom(aCall), claimed);
   AnswerT answer;
-  const std::string_view outcome = response.base()[std::string(kOutcomeHeader)];
+  const std::string_view outcome = response.base()[kOutcomeHeader];
   answer.outcome = ParseOutcome(outcome).value_or(CallOutcome::Done);
   answer.status = static_cast<std::uint16_t>(response.result_int());
   answer.headers = EndToEndHeaders(response);
--- a/modules/node/src/KeyedCalls.cpp
+++ b/modules/node/src/KeyedCalls.cpp
@@ -28,7 +28,6 @@
 constexpr std::size_t kMaxKeysPerRequest = 1000;
 // Longer than the maximum timeout of a route.
 constexpr std::int64_t kMaxWaitMs = 660'000;
-constexpr std::string_view kOutcomeHeader = "Sequoiastep-Outcome";
 
 // Digest of method, target, body and workspace. A key may be reused only for a request with the
 // same digest, so that no workspace gets a response that is stored for another one.
@@ -83,7 +82,7 @@
 void
 RecordResponse(idempotency::KeyTable& aTable, std::uint64_t aSerial, const HttpResponse& aResponse)
 {
-  const std::string_view outcome = aResponse.base()[std::string(kOutcomeHeader)];
+  const std::string_view outcome = aResponse.base()[kOutcomeHeader];
   if (outcome.empty()) {
     idempotency::FinishClaim(aTable, aSerial, MakeStoredResponse(aResponse));
   } else if (outcome == NameOf(CallOutcome::NotRun)) {
--- a/modules/node/src/Problem.cpp
+++ b/modules/node/src/Problem.cpp
@@ -54,7 +54,7 @@
   };
   net::HttpResponse response =
     net::MakeResponse(aStatus, "application/problem+json", json::serialize(body));
-  response.set("Sequoiastep-Outcome", NameOf(aOutcome));
+  response.set(kOutcomeHeader, NameOf(aOutcome));
   return response;
 }
 
--- a/modules/node/src/Problem.h
+++ b/modules/node/src/Problem.h
@@ -13,6 +13,9 @@
 
 using wire::CallOutcome;
 
+/// Header of responses to callers that names the outcome of the call; absent if a target answered.
+constexpr std::string_view kOutcomeHeader = "Sequoiastep-Outcome";
+
 /// @return the name of aOutcome in responses, logs and metrics.
 std::string_view
 NameOf(CallOutcome aOutcome);
--- a/modules/node/src/TargetExchange.cpp
+++ b/modules/node/src/TargetExchange.cpp
@@ -21,15 +21,13 @@
 
 namespace {
 
-constexpr std::string_view kOutcomeHeader = "Sequoiastep-Outcome";
-
 // Returns true if the response says that the target did not execute the request. Any other response
 // is the target's answer.
 bool
 WasNotExecuted(const net::HttpResponse& aResponse)
 {
   const bool markedNotRun = aResponse.result() == http::status::service_unavailable &&
-                            aResponse[std::string(kOutcomeHeader)] == "not_run";
+                            aResponse[kOutcomeHeader] == "not_run";
   return markedNotRun || aResponse.count(adapter::kNotRun) > 0 ||
          (aResponse.result() == http::status::misdirected_request &&
           aResponse.count(adapter::kTargetSignature) == 0);
