--- a/review/common-2/stand.h
+++ b/review/common-2/stand.h
@@ -305,6 +305,13 @@
   }
 
   bool ended() const { return m_ended; }
+  // The other side has closed or reset the connection.
+  bool closedByPeer() const
+  {
+    char byte = 0;
+    const ssize_t size = ::recv(m_fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return size == 0 || (size < 0 && errno != EAGAIN && errno != EWOULDBLOCK);
+  }
 
 private:
   bool fill(Ms aUntil)
@@ -699,6 +706,8 @@
   std::string control;
   Ms born = unixMs();
   int capacity = 6;
+  // Requests that were dropped since their connection closed.
+  std::atomic<int> abandoned{ 0 };
   Ms workMs = 50;
   Ms beatMs = 1500;
 
@@ -843,8 +852,16 @@
                   own,
                   request.header("sequoiastep-deadline-ms") });
       gRecord.line("%s runs %s", own.c_str(), requestId.c_str());
-      sleepMs(workMs);
+      const Ms until = now() + workMs;
+      while (now() < until && !aConnection.closedByPeer()) {
+        sleepMs(std::min<Ms>(5, until - now()));
+      }
       --m_running;
+      if (now() < until) {
+        gRecord.line("%s drops %s, whose connection was closed", own.c_str(), requestId.c_str());
+        ++abandoned;
+        return;
+      }
       if (life != m_life) {
         return;
       }
