--- a/review/common-2/stand.h
+++ b/review/common-2/stand.h
@@ -708,6 +708,8 @@
   int capacity = 6;
   // Requests that were dropped since their connection closed.
   std::atomic<int> abandoned{ 0 };
+  // Sends the answer to a request that was run; false closes the connection. The default if empty.
+  std::function<bool(Connection&, const std::string&)> reply;
   Ms workMs = 50;
   Ms beatMs = 1500;
 
@@ -865,6 +867,12 @@
       if (life != m_life) {
         return;
       }
+      if (reply) {
+        if (!reply(aConnection, requestId)) {
+          return;
+        }
+        continue;
+      }
       aConnection.send(makeResponse(
         200, "OK", echo + "Sequoiastep-Response-Signature: s." + own + "\r\n", "ran " + requestId));
     }
