--- a/review/common-2/stand.h
+++ b/review/common-2/stand.h
@@ -1,9 +1,8 @@
-// Stand-ins for the cases of this review: the platform's store, upstreams, clients, and the start of the
-// project's nodes. Plain POSIX sockets on loopback, one thread for each connection.
+// Stand-ins for the cases of this review: the platform's store, upstreams, clients, and the start
+// of the project's nodes. Plain POSIX sockets on loopback, one thread for each connection.
 #pragma once
 
 #include <arpa/inet.h>
-#include <linux/filter.h>
 #include <atomic>
 #include <chrono>
 #include <condition_variable>
@@ -16,6 +15,7 @@
 #include <fcntl.h>
 #include <fstream>
 #include <functional>
+#include <linux/filter.h>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -158,7 +158,7 @@
 
 struct Message
 {
-  std::string first; // The request line or the status line.
+  std::string first;                          // The request line or the status line.
   std::map<std::string, std::string> headers; // Names in lower case.
   std::string body;
 
@@ -235,8 +235,8 @@
     return true;
   }
 
-  // Reads one message. Returns false if none came whole in time; m_ended then tells whether the other
-  // side closed the connection.
+  // Reads one message. Returns false if none came whole in time; m_ended then tells whether the
+  // other side closed the connection.
   bool read(Message& aMessage, Ms aTimeoutMs, bool aIsResponse)
   {
     const Ms until = now() + aTimeoutMs;
@@ -415,7 +415,8 @@
   for (std::size_t i = 0; i < aBytes.size(); i += 3) {
     std::uint32_t group = 0;
     for (std::size_t j = 0; j < 3; ++j) {
-      group = group << 8U | (i + j < aBytes.size() ? static_cast<unsigned char>(aBytes[i + j]) : 0U);
+      group =
+        group << 8U | (i + j < aBytes.size() ? static_cast<unsigned char>(aBytes[i + j]) : 0U);
     }
     for (std::size_t j = 0; j < 4; ++j) {
       text += i + j <= aBytes.size() ? kLetters[group >> (18 - 6 * j) & 63U] : '=';
@@ -449,8 +450,8 @@
   return {};
 }
 
-// The log with its keyed topics, one partition each, as PROTOCOL.md tells it. It answers in 4 ms and
-// loses nothing. Partitions can be made silent: calls to them get no answer.
+// The log with its keyed topics, one partition each, as PROTOCOL.md tells it. It answers in 4 ms
+// and loses nothing. Partitions can be made silent: calls to them get no answer.
 class Store
 {
 public:
@@ -470,8 +471,9 @@
     appendKeyed(aTopic, std::string(1, static_cast<char>(aKey.size())) + aKey + aValue);
   }
 
-  // All connections that are open now go silent for good: the store's side neither answers nor acknowledges
-  // what comes on them, keep-alive probes included, and does not close them. New connections work.
+  // All connections that are open now go silent for good: the store's side neither answers nor
+  // acknowledges what comes on them, keep-alive probes included, and does not close them. New
+  // connections work.
   void silenceOpenConnections()
   {
     sock_filter drop{ .code = BPF_RET | BPF_K, .jt = 0, .jf = 0, .k = 0 };
@@ -629,8 +631,8 @@
     return makeResponse(200,
                         "OK",
                         json,
-                        "{\"offset\":" + std::to_string(first) + ",\"end\":" +
-                          std::to_string(topic.m_records.size()) + "}");
+                        "{\"offset\":" + std::to_string(first) +
+                          ",\"end\":" + std::to_string(topic.m_records.size()) + "}");
   }
 
   std::string read(const std::string& aTarget, const std::string& aTopic)
@@ -695,8 +697,8 @@
 
 inline Runs gRuns;
 
-// An upstream beside a node: serves one request at a time on a connection, as many as its capacity at
-// once, and sends heartbeats to the node's control address.
+// An upstream beside a node: serves one request at a time on a connection, as many as its capacity
+// at once, and sends heartbeats to the node's control address.
 class Upstream
 {
 public:
@@ -715,7 +717,8 @@
 
   void start()
   {
-    m_server = std::make_unique<Server>(address, [this](Connection& aConnection) { serve(aConnection); });
+    m_server =
+      std::make_unique<Server>(address, [this](Connection& aConnection) { serve(aConnection); });
     startBeats();
   }
   void startBeats()
@@ -740,9 +743,10 @@
   {
     const std::string body =
       "{\"address\":\"" + address + "\",\"born\":" + std::to_string(born) +
-      ",\"info\":{\"service\":\"" + service + "\",\"version\":\"v1\",\"zone\":\"z\",\"capacity\":" +
-      std::to_string(capacity) + "},\"status\":{\"state\":\"" + aState +
-      "\",\"sequence\":" + std::to_string(aSequence) + ",\"warmup_left_ms\":0}}";
+      ",\"info\":{\"service\":\"" + service +
+      "\",\"version\":\"v1\",\"zone\":\"z\",\"capacity\":" + std::to_string(capacity) +
+      "},\"status\":{\"state\":\"" + aState + "\",\"sequence\":" + std::to_string(aSequence) +
+      ",\"warmup_left_ms\":0}}";
     const int status = post("/-/instances/" + id + "/heartbeat", body);
     if (aState != "ready") {
       gRecord.line("%s says %s (sequence %llu): answer %d",
@@ -843,8 +847,8 @@
         continue;
       }
       if (requestId.empty() || m_running.load() >= capacity) {
-        aConnection.send(makeResponse(
-          503, "Service Unavailable", echo + "Sequoiastep-Not-Executed: 1\r\n", ""));
+        aConnection.send(
+          makeResponse(503, "Service Unavailable", echo + "Sequoiastep-Not-Executed: 1\r\n", ""));
         continue;
       }
       ++m_running;
@@ -891,7 +895,7 @@
 
 // ---------------------------------------------------------------- nodes
 
-inline std::string gFolder; // Temporary folder for settings and logs.
+inline std::string gFolder;                         // Temporary folder for settings and logs.
 inline std::string gProgram = "target/sequoiastep"; // As the deploy file says.
 
 // One machine's node, with settings as platform/settings.json.tpl makes them.
@@ -924,7 +928,8 @@
         << "\"},\n\"metrics\":{\"listen\":\"" << metrics << "\"},\n\"peer\":{\"listen\":\"" << peer
         << "\",\"link_mbps\":200},\n\"limits\":{\"memory_mb\":" << memoryMb
         << "},\n\"platform\":{\"log\":\"" << store
-        << "\",\"operator_record\":true},\n\"retries\":{\"ratio\":0.2,\"extra\":60,\"window_ms\":10000},\n";
+        << "\",\"operator_record\":true},\n\"retries\":{\"ratio\":0.2,\"extra\":60,\"window_ms\":"
+           "10000},\n";
     if (quotas) {
       out << "\"quotas\":{\"window_ms\":5000,\"over\":0.1,\"slack\":20},\n";
     }
@@ -1046,8 +1051,8 @@
   sent.connected = true;
   sent.at = now();
   connection->send(aMethod + " " + aPath + " HTTP/1.1\r\nHost: " + aHost +
-                   "\r\nSequoiastep-Request-Id: " + sent.id +
-                   "\r\nSequoiastep-Deadline-Ms: " + std::to_string(aDeadlineMs) + "\r\n" + aHeaders +
+                   "\r\nSequoiastep-Request-Id: " + sent.id + "\r\nSequoiastep-Deadline-Ms: " +
+                   std::to_string(aDeadlineMs) + "\r\n" + aHeaders +
                    (aMethod == "GET" && aBody.empty()
                       ? std::string()
                       : "Content-Length: " + std::to_string(aBody.size()) + "\r\n") +
