--- a/review/common-2/stand.h
+++ b/review/common-2/stand.h
@@ -15,7 +15,6 @@
 #include <fcntl.h>
 #include <fstream>
 #include <functional>
-#include <linux/filter.h>
 #include <map>
 #include <memory>
 #include <mutex>
@@ -471,23 +470,6 @@
     appendKeyed(aTopic, std::string(1, static_cast<char>(aKey.size())) + aKey + aValue);
   }
 
-  // All connections that are open now go silent for good: the store's side neither answers nor
-  // acknowledges what comes on them, keep-alive probes included, and does not close them. New
-  // connections work.
-  void silenceOpenConnections()
-  {
-    sock_filter drop{ .code = BPF_RET | BPF_K, .jt = 0, .jf = 0, .k = 0 };
-    const sock_fprog program{ .len = 1, .filter = &drop };
-    const std::lock_guard lock(m_mutex);
-    ++m_silenced;
-    for (const int fd : m_open) {
-      if (::setsockopt(fd, SOL_SOCKET, SO_ATTACH_FILTER, &program, sizeof program) != 0) {
-        std::perror("SO_ATTACH_FILTER");
-        std::exit(2);
-      }
-    }
-  }
-
   void setSilent(const std::string& aTopic, bool aSilent)
   {
     const std::lock_guard lock(m_mutex);
@@ -528,27 +510,11 @@
   }
 
   void serve(Connection& aConnection)
-  {
-    {
-      const std::lock_guard lock(m_mutex);
-      m_open.insert(aConnection.fd());
-    }
-    serveRequests(aConnection);
-    const std::lock_guard lock(m_mutex);
-    m_open.erase(aConnection.fd());
-  }
-
-  void serveRequests(Connection& aConnection)
   {
     Message request;
-    const int opened = m_silenced;
     while (aConnection.read(request, 600'000, false)) {
       const std::string target = request.word(1);
       const std::string topic = queryValue(target, "topic");
-      if (opened != m_silenced) {
-        stayOpen(aConnection);
-        return;
-      }
       if (isSilent(topic)) {
         gRecord.line("the store is silent to %s", request.first.c_str());
         while (isSilent(topic)) {
@@ -557,24 +523,12 @@
         return; // The connection on which an answer is lost returns nothing further.
       }
       sleepMs(4);
-      const std::string response = answer(request, target, topic);
-      if (opened != m_silenced) {
-        stayOpen(aConnection);
-        return;
-      }
-      if (!aConnection.send(response)) {
+      if (!aConnection.send(answer(request, target, topic))) {
         return;
       }
     }
   }
 
-  // Keeps a silent connection open.
-  static void stayOpen(Connection& aConnection)
-  {
-    Message ignored;
-    aConnection.read(ignored, 600'000, false);
-  }
-
   std::string answer(const Message& aRequest, const std::string& aTarget, const std::string& aTopic)
   {
     const std::string json = "Content-Type: application/json\r\n";
@@ -659,8 +613,6 @@
   std::mutex m_mutex;
   std::map<std::string, Topic> m_topics;
   std::set<std::string> m_silent;
-  std::atomic<int> m_silenced{ 0 };
-  std::set<int> m_open;
   std::vector<std::unique_ptr<Server>> m_servers;
 };
 
