Run the attempts of a call beside each other; a caller that leaves says nothing of its target

What callers saw: after a caller left, the node avoided the target that had run its request (target_avoided "no answer came within the deadline", for 80 to 170 ms and longer each time) and charged the retry budget for a retry that it never made; requests that followed went to fewer targets. Seen by hand in 4 of 4 requests whose caller left after 300 ms. Cause: an attempt was a part of the call's own coroutine. A cancellation of that coroutine made the wait for the answer return, and its result was recorded as that of the target. Change: each attempt is a task of its own (CallRace). One that nobody waits for any more is cancelled and recorded as abandoned. What follows from each event of an attempt is decided in CallProgress, a pure module, which lets attempts be in flight at the same time; the link layer still ends calls whose node falls silent. A charge for a retry that found no target is refunded. A target's own error is not replaced by the lost answer of a later attempt.

--- a/modules/node/src/CallJob.h
+++ b/modules/node/src/CallJob.h
@@ -2,13 +2,13 @@
 /// State of a call that entered the mesh at this node, and of its attempts.
 #pragma once
 
+#include "CallProgress.h"
 #include "Clock.h"
 #include "Documents.h"
 #include "Messages_generated.h"
 #include "Picker.h"
 #include "Placement.h"
 #include "QuotaToken.h"
-#include "Retry.h"
 #include "RolloutTable.h"
 
 #include <cstdint>
@@ -48,9 +48,7 @@
   /// Node of the latest attempt, and where it lies as seen from this node.
   std::string m_lastNode;
   std::optional<routing::Locality> m_lastPlace;
-  /// Decision after the latest attempt.
-  routing::RetryDecision m_retryDecision = routing::RetryDecision::TryFree;
-  routing::RetryContext m_retryContext;
+  routing::CallProgress m_progress;
   /// The rollout by which the first attempt goes to a target on trial; none if it does not.
   std::optional<rollout::Rollout> m_trial;
   /// Answer to return unless a further attempt replaces it.
--- a/modules/node/src/CallLinks.cpp
+++ b/modules/node/src/CallLinks.cpp
@@ -43,9 +43,13 @@
 // A call that waits for its answer. The wait ends when the timer expires or is cancelled.
 struct CallLinks::PendingCall
 {
-  PendingCall(asio::io_context& aContext, std::int64_t aTimeoutMs, bool aRepeatable)
+  PendingCall(asio::io_context& aContext,
+              std::int64_t aTimeoutMs,
+              bool aRepeatable,
+              OnSilent aOnSilent)
     : m_timer(aContext, std::chrono::milliseconds(aTimeoutMs))
     , m_repeatable(aRepeatable)
+    , m_onSilent(std::move(aOnSilent))
   {
   }
 
@@ -54,6 +58,7 @@
 
   asio::steady_timer m_timer;
   bool m_repeatable;
+  OnSilent m_onSilent;
   /// Body that is sent in chunks; empty if the call itself carries it.
   std::vector<std::uint8_t> m_body;
   std::size_t m_bodySent = 0;
@@ -211,7 +216,11 @@
 }
 
 Awaitable<CallReply>
-CallLinks::Call(std::string aNode, std::string aAddress, wire::CallT aCall, std::int64_t aTimeoutMs)
+CallLinks::Call(std::string aNode,
+                std::string aAddress,
+                wire::CallT aCall,
+                std::int64_t aTimeoutMs,
+                OnSilent aOnSilent)
 {
   const LinkPtr link = co_await OpenLink(aNode, aAddress, aTimeoutMs);
   if (link) {
@@ -239,7 +248,7 @@
   aCall.id = m_nextId++;
   aCall.sent_ms = Clock::Now().m_ms;
   const std::uint64_t id = aCall.id;
-  PendingCall pending(m_context, aTimeoutMs, aCall.repeatable);
+  PendingCall pending(m_context, aTimeoutMs, aCall.repeatable, std::move(aOnSilent));
   if (aCall.body.size() > net::kMaxSmallBodyBytes) {
     pending.m_body = std::move(aCall.body);
     aCall.body.clear();
@@ -462,6 +471,8 @@
   for (const auto& [id, call] : aLink->m_pending) {
     if (call->m_repeatable || !call->MayRun()) {
       FailCall(*call);
+    } else if (call->m_onSilent) {
+      call->m_onSilent();
     }
   }
 }
--- a/modules/node/src/CallLinks.h
+++ b/modules/node/src/CallLinks.h
@@ -10,6 +10,7 @@
 #include "SharedState.h"
 
 #include <cstdint>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -38,14 +39,20 @@
             SharedState& aShared,
             std::shared_ptr<net::ByteBudget> aBudget);
 
+  /// Called when the peer of a call in progress fell silent.
+  using OnSilent = std::function<void()>;
+
   /// Sends aCall to the node at aAddress and waits for its answer. If the coroutine is cancelled or
-  /// the wait times out, the peer is sent a Cancel message.
+  /// the wait times out, the peer is sent a Cancel message. A silent peer does not end the wait,
+  /// unless it can't have the whole request and the call may run only once.
   /// @param aTimeoutMs timeout of the wait for the answer, in milliseconds; it also bounds the wait
   /// for a link that is being opened.
+  /// @param aOnSilent called once at most, while the wait goes on. May be empty.
   net::Awaitable<CallReply> Call(std::string aNode,
                                  std::string aAddress,
                                  wire::CallT aCall,
-                                 std::int64_t aTimeoutMs);
+                                 std::int64_t aTimeoutMs,
+                                 OnSilent aOnSilent = {});
   /// Sends a message that has no reply. It is dropped if no link can be opened in time.
   net::Awaitable<void> Notify(std::string aNode, std::string aAddress, wire::EnvelopeT aMessage);
   /// Asks the node at aAddress for tokens of a quota. It does not count as a call in progress.
--- a/modules/node/src/CallLog.cpp
+++ b/modules/node/src/CallLog.cpp
@@ -33,8 +33,8 @@
     .Add("service", aJob.m_call.service)
     .Add("version", aJob.m_call.version)
     .Add("last_node", aAttempts.m_lastNode)
-    .Add("handovers", aAttempts.m_retryContext.m_handovers)
-    .Add("arrivals", aAttempts.m_retryContext.m_arrivals)
+    .Add("handovers", aAttempts.m_progress.m_context.m_handovers)
+    .Add("arrivals", aAttempts.m_progress.m_context.m_arrivals)
     .Add("elapsed_ms", now - aJob.m_startedAt)
     .Add("left_ms", aJob.m_deadline - now);
 }
@@ -71,20 +71,37 @@
     .Add("version", aVersion);
 }
 
+void
+LogUnresponsiveAttempt(const CallJob& aJob,
+                       const CallAttempts& aAttempts,
+                       std::string_view aNode,
+                       double aBudgetLeft)
+{
+  LogLine line(LogLevel::Info, "attempt_unresponsive", aNode);
+  AddCallFields(line, aJob, aAttempts);
+  line.Add("at", aNode)
+    .Add("in_flight", aAttempts.m_progress.m_inFlight)
+    .Add("next", routing::NameOf(aAttempts.m_progress.m_decision))
+    .Add("budget_left", std::llround(aBudgetLeft));
+}
+
 void
 LogFailedAttempt(const CallJob& aJob,
                  const CallAttempts& aAttempts,
-                 const AnswerT& aAnswer,
+                 const CallAttempt& aAttempt,
                  double aBudgetLeft)
 {
-  LogLine line(LogLevel::Info, "attempt_failed", ReasonOf(aAnswer));
+  const AnswerT& answer = aAttempt.m_answer;
+  LogLine line(LogLevel::Info, "attempt_failed", ReasonOf(answer));
   AddCallFields(line, aJob, aAttempts);
-  AddAnswerFields(line, aAnswer);
-  line.Add("judged", routing::NameOf(aAttempts.m_retryContext.m_outcome))
-    .Add("next", routing::NameOf(aAttempts.m_retryDecision))
+  AddAnswerFields(line, answer);
+  line.Add("at", aAttempt.m_target.m_node)
+    .Add("judged", routing::NameOf(aAttempt.m_outcome))
+    .Add("in_flight", aAttempts.m_progress.m_inFlight)
+    .Add("next", routing::NameOf(aAttempts.m_progress.m_decision))
     .Add("any_wait", aAttempts.m_placement.m_anyWait ? "yes" : "no")
-    .Add("their_load", aAnswer.outstanding)
-    .Add("their_run_us", aAnswer.service_us)
+    .Add("their_load", answer.outstanding)
+    .Add("their_run_us", answer.service_us)
     .Add("budget_left", std::llround(aBudgetLeft));
 }
 
@@ -94,7 +111,7 @@
   const AnswerT& answer = aAttempts.m_answer;
   const bool failed = answer.outcome != CallOutcome::Done || IsServerError(answer);
   const bool late = Clock::Now() > aJob.m_objective;
-  if (!failed && !late && aAttempts.m_retryContext.m_handovers <= 1) {
+  if (!failed && !late && aAttempts.m_progress.m_context.m_handovers <= 1) {
     return;
   }
   const std::string_view event = failed ? "request_failed"
@@ -103,7 +120,7 @@
   LogLine line(LogLevel::Info, event, ReasonOf(answer));
   AddCallFields(line, aJob, aAttempts);
   AddAnswerFields(line, answer);
-  line.Add("stopped_by", routing::NameOf(aAttempts.m_retryDecision))
+  line.Add("stopped_by", routing::NameOf(aAttempts.m_progress.m_decision))
     .Add("objective_ms", aJob.m_objective - aJob.m_startedAt)
     .Add("their_held_us", answer.held_us);
 }
--- a/modules/node/src/CallLog.h
+++ b/modules/node/src/CallLog.h
@@ -4,6 +4,7 @@
 #pragma once
 
 #include "CallJob.h"
+#include "CallRace.h"
 
 #include <string_view>
 
@@ -22,13 +23,22 @@
                 std::string_view aKeyFingerprint,
                 std::uint64_t aVersion);
 
+/// Logs an attempt during which the node beside its target fell silent, and whether a retry is
+/// added.
+/// @param aNode that node.
+/// @param aBudgetLeft retries that the budget still allows.
+void
+LogUnresponsiveAttempt(const CallJob& aJob,
+                       const CallAttempts& aAttempts,
+                       std::string_view aNode,
+                       double aBudgetLeft);
+
 /// Logs an attempt that did not succeed: its outcome, and whether another one follows and why.
-/// @param aAnswer answer of the attempt.
 /// @param aBudgetLeft retries that the budget still allows.
 void
 LogFailedAttempt(const CallJob& aJob,
                  const CallAttempts& aAttempts,
-                 const wire::AnswerT& aAnswer,
+                 const CallAttempt& aAttempt,
                  double aBudgetLeft);
 
 /// Logs the end of a call if it failed, missed its latency objective or took more than one target.
--- a/modules/node/src/CallProxy.h
+++ b/modules/node/src/CallProxy.h
@@ -7,6 +7,7 @@
 #include "BodyReceiver.h"
 #include "CallLinks.h"
 #include "CallMetrics.h"
+#include "CallRace.h"
 #include "CallerKeys.h"
 #include "DrainPlan.h"
 #include "Events.h"
@@ -126,7 +127,9 @@
   net::Awaitable<wire::AnswerT> AnswerForwarded(wire::CallT aCall);
   net::Awaitable<void> HoldWhileControlStale();
   net::Awaitable<void> HoldForVersion(std::uint64_t aVersion);
-  net::Awaitable<wire::AnswerT> RunAttempt(const CallJob& aJob, const routing::Candidate& aTarget);
+  net::Awaitable<wire::AnswerT> RunAttempt(const CallJob& aJob,
+                                           const CallAttempt& aAttempt,
+                                           CallLinks::OnSilent aOnSilent);
   net::Awaitable<wire::AnswerT> RunAtLocalTarget(wire::CallT aCall);
   CallJob MakeJob(const net::HttpRequest& aRequest,
                   const config::Snapshot& aSnapshot,
@@ -136,20 +139,21 @@
   routing::RetryBudget& BudgetOf(const std::string& aService);
   bool MayOverlap(const net::HttpRequest& aRequest) const;
   void ApplyCallerLimits();
-  net::Awaitable<routing::AttemptOutcome> TryTarget(const CallJob& aJob,
-                                                    const routing::Candidate& aTarget,
-                                                    wire::AnswerT& aAnswer);
-  std::optional<routing::Candidate> NextTarget(CallJob& aJob, CallAttempts& aAttempts);
-  std::optional<routing::Candidate> PlaceAmong(const std::vector<routing::Candidate>& aCandidates,
-                                               CallJob& aJob,
-                                               CallAttempts& aAttempts);
+  net::Awaitable<void> TryTarget(std::shared_ptr<const CallJob> aJob,
+                                 CallAttemptPtr aAttempt,
+                                 std::shared_ptr<AttemptEvents> aEvents);
+  CallAttemptPtr NextAttempt(const CallJob& aJob, CallAttempts& aAttempts);
+  CallAttemptPtr PlaceAmong(const std::vector<routing::Candidate>& aCandidates,
+                            const CallJob& aJob,
+                            CallAttempts& aAttempts);
   void MakeRolloutCalls();
   void BeginTrial(const CallJob& aJob, CallAttempts& aAttempts);
-  std::optional<routing::Candidate> PlaceTrial(const RoutingView& aView,
-                                               CallJob& aJob,
-                                               CallAttempts& aAttempts);
-  void EndTrial(const CallJob& aJob, CallAttempts& aAttempts, bool aArrived);
-  void HandleAttemptResult(const CallJob& aJob, CallAttempts& aAttempts, wire::AnswerT aAnswer);
+  CallAttemptPtr PlaceTrial(const RoutingView& aView, const CallJob& aJob, CallAttempts& aAttempts);
+  void HandleUnresponsive(const CallJob& aJob, CallAttempts& aAttempts, CallAttempt& aAttempt);
+  void HandleAttemptEnd(const CallJob& aJob, CallAttempts& aAttempts, CallAttempt& aAttempt);
+  net::Awaitable<void> HandleNextEvent(CallRace& aRace,
+                                       const CallJob& aJob,
+                                       CallAttempts& aAttempts);
   void RecordCallEnd(const CallJob& aJob, const CallAttempts& aAttempts, std::int64_t aElapsedUs);
   void LogTargetTrusted(const std::string& aNode) const;
   void LogTargetAvoided(const std::string& aNode, const std::string& aReason) const;
--- a/modules/node/src/CallProxyMetrics.cpp
+++ b/modules/node/src/CallProxyMetrics.cpp
@@ -20,6 +20,7 @@
   counter("unknown", counters.m_unknown);
   counter("failed", counters.m_failed);
   counter("retries", counters.m_retries);
+  counter("unresponsive_attempts", counters.m_unresponsive);
   counter("shed", counters.m_shed);
   counter("dispatched", counters.m_dispatched);
   counter("version_holds", counters.m_versionHolds);
--- a/modules/node/src/CallProxyQuota.cpp
+++ b/modules/node/src/CallProxyQuota.cpp
@@ -63,8 +63,8 @@
 void
 CallProxy::ReturnUnusedToken(const CallJob& aJob, const CallAttempts& aAttempts)
 {
-  const bool reachedNone =
-    aAttempts.m_answer.outcome == CallOutcome::NotRun && aAttempts.m_retryContext.m_arrivals == 0;
+  const bool reachedNone = aAttempts.m_answer.outcome == CallOutcome::NotRun &&
+                           aAttempts.m_progress.m_context.m_arrivals == 0;
   if (aJob.m_quotaToken && reachedNone) {
     m_quotas.Refund(*aJob.m_quotaToken);
   }
--- a/modules/node/src/CallProxyRollouts.cpp
+++ b/modules/node/src/CallProxyRollouts.cpp
@@ -1,6 +1,8 @@
 // Requests that try a new version of their service.
 #include "CallProxy.h"
 
+#include <utility>
+
 namespace sequoiastep::node {
 
 namespace asio = net::asio;
@@ -43,37 +45,29 @@
   }
 }
 
-// Picks the target of a first attempt on trial. If no target can take it, or the trial ended
-// meanwhile, the call goes to a regular target.
-std::optional<routing::Candidate>
-CallProxy::PlaceTrial(const RoutingView& aView, CallJob& aJob, CallAttempts& aAttempts)
+// Makes the first attempt of a trial. If no target can take it, or the trial ended meanwhile, the
+// call goes to a regular target, as all later attempts do.
+CallAttemptPtr
+CallProxy::PlaceTrial(const RoutingView& aView, const CallJob& aJob, CallAttempts& aAttempts)
 {
   if (!aAttempts.m_trial) {
-    return std::nullopt;
+    return nullptr;
   }
+  const rollout::Rollout trial = *std::exchange(aAttempts.m_trial, std::nullopt);
   const auto service = aView.m_rollouts.find(aJob.m_call.service);
   const bool current = service != aView.m_rollouts.end() &&
-                       service->second.m_rollout.m_order == aAttempts.m_trial->m_order &&
+                       service->second.m_rollout.m_order == trial.m_order &&
                        service->second.m_rollout.m_phase == rollout::RolloutPhase::Trial;
-  std::optional<routing::Candidate> target;
+  CallAttemptPtr attempt;
   if (current) {
-    target = PlaceAmong(service->second.m_trial, aJob, aAttempts);
-  }
-  if (!target) {
-    EndTrial(aJob, aAttempts, false);
+    attempt = PlaceAmong(service->second.m_trial, aJob, aAttempts);
   }
-  return target;
-}
-
-// The attempt on trial ended, or no target could be picked for it. Later ones go to regular
-// targets.
-void
-CallProxy::EndTrial(const CallJob& aJob, CallAttempts& aAttempts, bool aArrived)
-{
-  if (!aArrived) {
-    m_rolloutCalls->RefundTrial(*aAttempts.m_trial, aJob.m_call.route);
+  if (attempt) {
+    attempt->m_trial = trial;
+  } else {
+    m_rolloutCalls->RefundTrial(trial, aJob.m_call.route);
   }
-  aAttempts.m_trial.reset();
+  return attempt;
 }
 
 } // namespace sequoiastep::node
--- a/modules/node/src/CallProxyRoute.cpp
+++ b/modules/node/src/CallProxyRoute.cpp
@@ -7,34 +7,24 @@
 #include "Headers.h"
 #include "Log.h"
 #include "Names.h"
-#include "NoticeWire.h"
 #include "ParseNumber.h"
 #include "Problem.h"
 
-#include <boost/asio/bind_cancellation_slot.hpp>
 #include <boost/beast/http/field.hpp>
-#include <chrono>
 #include <fmt/core.h>
 
 namespace sequoiastep::node {
 
-namespace asio = net::asio;
 namespace http = net::http;
 using net::Awaitable;
 using net::HttpRequest;
 using net::HttpResponse;
-using net::kAsTuple;
 using routing::AttemptOutcome;
-using routing::RetryDecision;
 using wire::AnswerT;
 using wire::CallOutcome;
-using wire::CallT;
 
 namespace {
 
-// The node beside the target enforces the deadline too, and its answer tells more than a timeout
-// here; so this node waits for it a little longer.
-constexpr Milliseconds kAnswerGraceMs = 30;
 // Upper bound for timeouts that callers send: one day.
 constexpr std::uint64_t kMaxCallerTimeoutMs = 86'400'000;
 // Retry-After of a refused request if the target's node gave none: the minimum plus random jitter.
@@ -63,31 +53,16 @@
   return left;
 }
 
-routing::LoadReport
-LoadReportOf(const AnswerT& aAnswer)
-{
-  return { .m_load = aAnswer.outstanding,
-           .m_serviceUs = aAnswer.service_us,
-           .m_rateWaitMs = static_cast<Milliseconds>(aAnswer.rate_wait_ms),
-           .m_bodyWaitMs = static_cast<Milliseconds>(aAnswer.body_wait_ms) };
-}
-
-AttemptOutcome
-AttemptOutcomeOf(const AnswerT& aAnswer)
+// Whether the answer of an attempt that ended is more to the caller than those before it. Any
+// earlier target may have run the call, so an attempt that reached none does not replace its
+// answer; nor does a lost answer replace a target's error.
+bool
+ReplacesAnswer(const CallAttempts& aAttempts, const AnswerT& aAnswer)
 {
-  switch (aAnswer.outcome) {
-    case CallOutcome::Done:
-      return IsServerError(aAnswer) ? AttemptOutcome::Failed : AttemptOutcome::Done;
-    case CallOutcome::NotRun:
-      if (aAnswer.arrived) {
-        return AttemptOutcome::TurnedAway;
-      }
-      return aAnswer.overloaded ? AttemptOutcome::Overloaded : AttemptOutcome::NotRun;
-    case CallOutcome::Unknown:
-    case CallOutcome::Failed:
-      break;
+  if (!aAnswer.arrived) {
+    return aAttempts.m_progress.m_context.m_arrivals == 0;
   }
-  return AttemptOutcome::Unknown;
+  return aAnswer.outcome == CallOutcome::Done || aAttempts.m_answer.outcome != CallOutcome::Done;
 }
 
 } // namespace
@@ -214,158 +189,6 @@
   co_return response;
 }
 
-// Runs a call at the target beside this node. If this coroutine is cancelled, a call that may run
-// only once and was dispatched runs to its end.
-Awaitable<AnswerT>
-CallProxy::RunAtLocalTarget(CallT aCall)
-{
-  struct PendingRun
-  {
-    explicit PendingRun(asio::io_context& aContext)
-      : m_done(aContext, std::chrono::steady_clock::time_point::max())
-    {
-    }
-    asio::steady_timer m_done;
-    std::optional<AnswerT> m_answer;
-  };
-  auto pending = std::make_shared<PendingRun>(m_context);
-  const auto run = MakeTargetRun(aCall);
-  m_localRuns.insert(run);
-  struct AbandonGuard
-  {
-    CallProxy& m_proxy;
-    std::shared_ptr<PendingRun> m_pending;
-    std::shared_ptr<TargetRun> m_run;
-    ~AbandonGuard()
-    {
-      m_proxy.m_localRuns.erase(m_run);
-      if (!m_pending->m_answer) {
-        Abandon(*m_run);
-      }
-    }
-  };
-  const AbandonGuard guard{ .m_proxy = *this, .m_pending = pending, .m_run = run };
-  asio::co_spawn(
-    m_context,
-    m_runner.Run(std::move(aCall), m_identity.m_node, run),
-    asio::bind_cancellation_slot(
-      run->m_cancel.slot(), [pending, run](const std::exception_ptr& aFailure, AnswerT aAnswer) {
-        if (aFailure) {
-          aAnswer = AnswerT();
-          aAnswer.outcome = CallOutcome::Unknown;
-          aAnswer.reason = "the call was broken off";
-        }
-        pending->m_answer = std::move(aAnswer);
-        pending->m_done.cancel();
-      }));
-  co_await pending->m_done.async_wait(kAsTuple);
-  if (!pending->m_answer) {
-    // The wait was cancelled because the caller disconnected.
-    AnswerT unknown;
-    unknown.outcome = CallOutcome::Unknown;
-    unknown.arrived = run->m_dispatched;
-    unknown.reason = "the caller left";
-    co_return unknown;
-  }
-  co_return std::move(*pending->m_answer);
-}
-
-Awaitable<AnswerT>
-CallProxy::RunAttempt(const CallJob& aJob, const routing::Candidate& aTarget)
-{
-  CallT call = aJob.m_call;
-  const Milliseconds left = std::max<Milliseconds>(1, DeadlineOf(aJob) - Clock::Now());
-  call.timeout_ms = static_cast<std::uint32_t>(left);
-  call.objective_ms = static_cast<std::int32_t>(aJob.m_objective - Clock::Now());
-  if (aTarget.m_node == m_identity.m_node) {
-    AnswerT answer = co_await RunAtLocalTarget(std::move(call));
-    co_return answer;
-  }
-  if (const auto known = m_noticeMemory.find(aTarget.m_node); known != m_noticeMemory.end()) {
-    call.remembered = ToWire(known->second.m_stated);
-  }
-  const bool crossesRegion = aTarget.m_region != m_identity.m_region;
-  const std::size_t sentBytes = call.body.size();
-  CallReply reply = co_await m_links.Call(
-    aTarget.m_node, aTarget.m_address, std::move(call), left + kAnswerGraceMs);
-  if (crossesRegion) {
-    m_shared.m_calls.m_crossRegionBytes.fetch_add(sentBytes + reply.m_answer.body.size());
-  }
-  if (const auto& notice = reply.m_answer.notice;
-      notice && reply.m_kind == CallReply::Kind::Answered) {
-    routing::Remember(m_noticeMemory, aTarget.m_node, FromWire(*notice), Clock::Now());
-  }
-  co_return AnswerFrom(std::move(reply));
-}
-
-// Classifies the answer of an attempt and updates the target's statistics.
-AttemptOutcome
-CallProxy::RecordOutcome(const CallJob& aJob,
-                         const AnswerT& aAnswer,
-                         const std::string& aNode,
-                         std::int64_t aElapsedUs)
-{
-  const Instant now = Clock::Now();
-  const AttemptOutcome outcome = AttemptOutcomeOf(aAnswer);
-  switch (outcome) {
-    case AttemptOutcome::Done:
-    case AttemptOutcome::Failed:
-      LogTargetTrusted(aNode);
-      RecordAnswer(aJob, aAnswer, aNode, aElapsedUs);
-      break;
-    case AttemptOutcome::Overloaded:
-      routing::RecordOverload(m_pickState, aNode, LoadReportOf(aAnswer), now, m_random);
-      break;
-    case AttemptOutcome::NotRun:
-    case AttemptOutcome::TurnedAway:
-    case AttemptOutcome::Unknown:
-      routing::RecordFailure(m_pickState, aNode, now, m_random);
-      LogTargetAvoided(aNode, aAnswer.reason);
-      break;
-  }
-  return outcome;
-}
-
-// Server errors may return sooner than regular answers, so they are left out of the run times.
-void
-CallProxy::RecordAnswer(const CallJob& aJob,
-                        const AnswerT& aAnswer,
-                        const std::string& aNode,
-                        std::int64_t aElapsedUs)
-{
-  routing::AnswerTimes times{ .m_latencyUs = aElapsedUs, .m_heldUs = aAnswer.held_us };
-  if (!IsServerError(aAnswer)) {
-    times.m_ranUs = aAnswer.ran_us;
-    times.m_routeAverageUs = routing::AverageOf(m_runUs, aJob.m_call.route).value_or(0);
-    routing::AddSample(m_runUs, aJob.m_call.route, aAnswer.ran_us);
-  }
-  routing::RecordAnswer(m_pickState, aNode, times, LoadReportOf(aAnswer), Clock::Now());
-}
-
-// Logs that a target is no longer avoided, since it answered after failures.
-void
-CallProxy::LogTargetTrusted(const std::string& aNode) const
-{
-  const routing::TargetStats* stats = routing::FindStats(m_pickState, aNode);
-  if (stats != nullptr && stats->m_failures > 0) {
-    LogLine(LogLevel::Info, "target_trusted", aNode)
-      .Add("at", aNode)
-      .Add("failures_before", stats->m_failures);
-  }
-}
-
-// Logs that a target is avoided for a while after a failure.
-void
-CallProxy::LogTargetAvoided(const std::string& aNode, const std::string& aReason) const
-{
-  const routing::TargetStats* stats = routing::FindStats(m_pickState, aNode);
-  LogLine(LogLevel::Info, "target_avoided", aNode)
-    .Add("at", aNode)
-    .Add("failures", stats->m_failures)
-    .Add("for_ms", stats->m_avoidUntil - Clock::Now())
-    .Add("reason", aReason);
-}
-
 routing::PickRequest
 CallProxy::PickRequestFor(const CallJob& aJob) const
 {
@@ -378,95 +201,98 @@
            .m_objectiveMs = aJob.m_objective - Clock::Now() };
 }
 
-// Runs one attempt and updates the target's statistics, also if the coroutine is cancelled.
-Awaitable<AttemptOutcome>
-CallProxy::TryTarget(const CallJob& aJob, const routing::Candidate& aTarget, AnswerT& aAnswer)
-{
-  struct StatsGuard
-  {
-    routing::PickState& m_pickState;
-    const std::string& m_node;
-    bool m_recorded = false;
-    ~StatsGuard()
-    {
-      if (!m_recorded) {
-        routing::RecordAbandoned(m_pickState, m_node);
-      }
-    }
-  };
-  const std::int64_t startUs = Clock::NowMicroseconds();
-  routing::RecordDispatch(m_pickState, aTarget.m_node);
-  StatsGuard guard{ .m_pickState = m_pickState, .m_node = aTarget.m_node };
-  aAnswer = co_await RunAttempt(aJob, aTarget);
-  guard.m_recorded = true;
-  co_return RecordOutcome(aJob, aAnswer, aTarget.m_node, Clock::NowMicroseconds() - startUs);
-}
-
-// Picks the target of the next attempt, or nothing if none is left, and sets the call's maximum
-// wait for a slot there. The first attempt of a trial goes to the new version if a target of it can
-// be picked.
-std::optional<routing::Candidate>
-CallProxy::NextTarget(CallJob& aJob, CallAttempts& aAttempts)
+// Makes the next attempt, or nothing if no target is left. The first attempt of a trial goes to the
+// new version if a target of it can be picked.
+CallAttemptPtr
+CallProxy::NextAttempt(const CallJob& aJob, CallAttempts& aAttempts)
 {
   const auto view = m_shared.m_view.load();
-  std::optional<routing::Candidate> target = PlaceTrial(*view, aJob, aAttempts);
+  CallAttemptPtr attempt = PlaceTrial(*view, aJob, aAttempts);
   const auto service = view->m_services.find(aJob.m_call.service);
-  if (!target && service != view->m_services.end()) {
-    target = PlaceAmong(service->second, aJob, aAttempts);
+  if (!attempt && service != view->m_services.end()) {
+    attempt = PlaceAmong(service->second, aJob, aAttempts);
   }
-  if (!target) {
-    aAttempts.m_retryDecision = RetryDecision::StopNoTarget;
-    return std::nullopt;
+  routing::CallProgress& progress = aAttempts.m_progress;
+  if (!attempt) {
+    routing::RecordNoTarget(progress, BudgetOf(aJob.m_call.service), Clock::Now());
+    return nullptr;
   }
-  if (aAttempts.m_retryContext.m_handovers > 0) {
+  if (progress.m_context.m_handovers > 0) {
     m_shared.m_calls.m_retries.fetch_add(1, std::memory_order_relaxed);
   }
-  aAttempts.m_lastNode = target->m_node;
+  const routing::Candidate& target = attempt->m_target;
+  aAttempts.m_lastNode = target.m_node;
   aAttempts.m_lastPlace =
-    routing::LocalityOf(*target, m_identity.m_region, m_identity.m_failureDomain);
-  ++aAttempts.m_retryContext.m_handovers;
-  return target;
+    routing::LocalityOf(target, m_identity.m_region, m_identity.m_failureDomain);
+  attempt->m_record = routing::RecordStart(progress);
+  return attempt;
 }
 
-std::optional<routing::Candidate>
+CallAttemptPtr
 CallProxy::PlaceAmong(const std::vector<routing::Candidate>& aCandidates,
-                      CallJob& aJob,
+                      const CallJob& aJob,
                       CallAttempts& aAttempts)
 {
   const auto placed = routing::Place(
     aAttempts.m_placement, aCandidates, m_pickState, PickRequestFor(aJob), Clock::Now(), m_random);
   if (!placed) {
-    return std::nullopt;
+    return nullptr;
   }
-  aJob.m_call.most_wait_ms = static_cast<std::uint32_t>(placed->m_maxWaitMs);
-  return aCandidates[placed->m_index];
+  auto attempt = std::make_shared<CallAttempt>();
+  attempt->m_target = aCandidates[placed->m_index];
+  attempt->m_maxWaitMs = placed->m_maxWaitMs;
+  return attempt;
+}
+
+// The node beside an attempt's target fell silent. The attempt goes on, and a retry may be added.
+void
+CallProxy::HandleUnresponsive(const CallJob& aJob, CallAttempts& aAttempts, CallAttempt& aAttempt)
+{
+  const Instant now = Clock::Now();
+  const std::string& node = aAttempt.m_target.m_node;
+  routing::RetryBudget& budget = BudgetOf(aJob.m_call.service);
+  m_shared.m_calls.m_unresponsive.fetch_add(1, std::memory_order_relaxed);
+  routing::RecordUnresponsive(m_pickState, node, now, m_random);
+  aAttempts.m_placement.m_excludedNodes.insert(node);
+  routing::RecordUnresponsive(
+    aAttempts.m_progress, aAttempt.m_record, budget, DeadlineOf(aJob) - now, now);
+  LogUnresponsiveAttempt(aJob, aAttempts, node, routing::RetriesLeft(budget, now));
 }
 
 // Records the result of an attempt and decides whether another one follows.
 void
-CallProxy::HandleAttemptResult(const CallJob& aJob, CallAttempts& aAttempts, AnswerT aAnswer)
+CallProxy::HandleAttemptEnd(const CallJob& aJob, CallAttempts& aAttempts, CallAttempt& aAttempt)
 {
+  const Instant now = Clock::Now();
   routing::RetryBudget& budget = BudgetOf(aJob.m_call.service);
-  const bool targetFull = aAttempts.m_retryContext.m_outcome == AttemptOutcome::Overloaded;
+  const bool targetFull = aAttempt.m_outcome == AttemptOutcome::Overloaded;
   routing::Placement& placement = aAttempts.m_placement;
-  (targetFull ? placement.m_fullNodes : placement.m_excludedNodes).insert(aAttempts.m_lastNode);
-  const bool charged = aAttempts.m_retryDecision == RetryDecision::TryCharged;
-  if (charged && !aAnswer.arrived) {
-    routing::RefundRetry(budget, Clock::Now());
+  (targetFull ? placement.m_fullNodes : placement.m_excludedNodes).insert(aAttempt.m_target.m_node);
+  if (aAttempt.m_trial && !aAttempt.m_answer.arrived) {
+    m_rolloutCalls->RefundTrial(*aAttempt.m_trial, aJob.m_call.route);
   }
-  aAttempts.m_retryContext.m_arrivals += aAnswer.arrived ? 1 : 0;
-  aAttempts.m_retryContext.m_leftMs = DeadlineOf(aJob) - Clock::Now();
-  aAttempts.m_retryDecision =
-    targetFull && placement.m_anyWait
-      ? RetryDecision::StopFull
-      : routing::DecideRetry(budget, aAttempts.m_retryContext, Clock::Now());
-  if (aAttempts.m_retryContext.m_outcome != AttemptOutcome::Done) {
-    LogFailedAttempt(aJob, aAttempts, aAnswer, routing::RetriesLeft(budget, Clock::Now()));
+  const routing::AttemptEnd end{ .m_outcome = aAttempt.m_outcome,
+                                 .m_arrived = aAttempt.m_answer.arrived,
+                                 .m_targetsFull = targetFull && placement.m_anyWait };
+  routing::RecordEnd(
+    aAttempts.m_progress, aAttempt.m_record, end, budget, DeadlineOf(aJob) - now, now);
+  if (aAttempt.m_outcome != AttemptOutcome::Done) {
+    LogFailedAttempt(aJob, aAttempts, aAttempt, routing::RetriesLeft(budget, now));
   }
-  // An earlier target may have run the call, so a retry that reached no target does not replace
-  // that attempt's answer.
-  if (!charged || aAnswer.arrived) {
-    aAttempts.m_answer = std::move(aAnswer);
+  if (ReplacesAnswer(aAttempts, aAttempt.m_answer)) {
+    aAttempts.m_answer = std::move(aAttempt.m_answer);
+  }
+}
+
+// Waits until something happens to an attempt and takes account of it.
+Awaitable<void>
+CallProxy::HandleNextEvent(CallRace& aRace, const CallJob& aJob, CallAttempts& aAttempts)
+{
+  const AttemptEvent event = co_await aRace.Next();
+  if (event.m_kind == AttemptEvent::Kind::Ended) {
+    HandleAttemptEnd(aJob, aAttempts, *event.m_attempt);
+  } else if (!event.m_attempt->m_ended) {
+    HandleUnresponsive(aJob, aAttempts, *event.m_attempt);
   }
 }
 
@@ -479,33 +305,32 @@
   CallAttempts attempts;
   attempts.m_answer.outcome = CallOutcome::NotRun;
   attempts.m_answer.reason = "the service has no target now";
-  attempts.m_retryContext.m_repeat = aJob.m_repeat;
-  attempts.m_retryContext.m_handovers = 0;
-  attempts.m_retryContext.m_maxAttempts = aJob.m_maxAttempts;
+  attempts.m_progress.m_context.m_repeat = aJob.m_repeat;
+  attempts.m_progress.m_context.m_maxAttempts = aJob.m_maxAttempts;
   if (m_rolloutCalls) {
     BeginTrial(aJob, attempts);
   }
-  CallerLeftGuard leftGuard(aJob, attempts);
-  while (!routing::IsStop(attempts.m_retryDecision)) {
-    const auto target = NextTarget(aJob, attempts);
-    if (!target) {
-      break;
-    }
-    AnswerT answer;
-    attempts.m_retryContext.m_outcome = co_await TryTarget(aJob, *target, answer);
-    if (attempts.m_trial) {
-      EndTrial(aJob, attempts, answer.arrived);
+  // Attempts that are cancelled may outlive this coroutine.
+  const auto job = std::make_shared<const CallJob>(std::move(aJob));
+  CallerLeftGuard leftGuard(*job, attempts);
+  CallRace race(m_context);
+  while (!routing::IsFinished(attempts.m_progress)) {
+    if (!routing::IsStop(attempts.m_progress.m_decision)) {
+      if (const CallAttemptPtr attempt = NextAttempt(*job, attempts)) {
+        race.Start(attempt, TryTarget(job, attempt, race.Events()));
+      }
+    } else {
+      co_await HandleNextEvent(race, *job, attempts);
     }
-    HandleAttemptResult(aJob, attempts, std::move(answer));
   }
   leftGuard.Dismiss();
   if (m_rolloutCalls) {
-    m_rolloutCalls->RecordCallEnd(aJob, attempts.m_answer);
+    m_rolloutCalls->RecordCallEnd(*job, attempts.m_answer);
   }
-  ReturnUnusedToken(aJob, attempts);
-  RecordCallEnd(aJob, attempts, span.ElapsedUs());
+  ReturnUnusedToken(*job, attempts);
+  RecordCallEnd(*job, attempts, span.ElapsedUs());
   span.End(NameOf(attempts.m_answer.outcome), attempts.m_lastNode);
-  co_return Respond(aJob, attempts.m_answer);
+  co_return Respond(*job, attempts.m_answer);
 }
 
 void
--- a/modules/node/src/SharedState.h
+++ b/modules/node/src/SharedState.h
@@ -61,6 +61,8 @@
   std::atomic<std::uint64_t> m_unknown{ 0 };
   std::atomic<std::uint64_t> m_failed{ 0 };
   std::atomic<std::uint64_t> m_retries{ 0 };
+  /// Attempts during which the node beside the target fell silent.
+  std::atomic<std::uint64_t> m_unresponsive{ 0 };
   std::atomic<std::uint64_t> m_shed{ 0 };
   std::atomic<std::uint64_t> m_dispatched{ 0 };
   std::atomic<std::uint64_t> m_versionHolds{ 0 };
--- a/modules/routing/include/Picker.h
+++ b/modules/routing/include/Picker.h
@@ -205,6 +205,11 @@
 void
 RecordFailure(PickState& aState, std::string_view aNode, Instant aNow, Random& aRandom);
 
+/// Records that the node beside a target fell silent during a call that goes on: the target is
+/// avoided for a while, as after a failure.
+void
+RecordUnresponsive(PickState& aState, std::string_view aNode, Instant aNow, Random& aRandom);
+
 /// Records that aNode refused a call because its target is full or at the limit that it named. It
 /// is not avoided for that, but the wait for the limit is taken to be longer after each refusal,
 /// since other nodes compete for it.
--- a/modules/routing/include/Retry.h
+++ b/modules/routing/include/Retry.h
@@ -26,6 +26,8 @@
   Failed,
   /// It may have been run.
   Unknown,
+  /// The node beside the target fell silent. The attempt goes on, since its answer may still come.
+  Unresponsive,
 };
 
 /// @return the name of aOutcome in logs.
@@ -122,6 +124,8 @@
   StopNoTarget,
   /// The targets are full, even for a call that accepts any wait.
   StopFull,
+  /// Another attempt of the call is in flight.
+  StopInFlight,
   /// Retry at another target without a charge to the budget.
   TryFree,
   /// Retry at another target; the budget was charged.
--- a/modules/routing/src/Picker.cpp
+++ b/modules/routing/src/Picker.cpp
@@ -464,6 +464,12 @@
 RecordFailure(PickState& aState, std::string_view aNode, Instant aNow, Random& aRandom)
 {
   RecordAbandoned(aState, aNode);
+  RecordUnresponsive(aState, aNode, aNow, aRandom);
+}
+
+void
+RecordUnresponsive(PickState& aState, std::string_view aNode, Instant aNow, Random& aRandom)
+{
   TargetStats& stats = aState.m_targets[std::string(aNode)];
   stats.m_avoidUntil = aNow + BackoffMs(kAvoidMinMs, stats.m_failures, kAvoidMaxMs, aRandom);
   stats.m_avoidedAt = aNow;
--- a/modules/routing/src/Retry.cpp
+++ b/modules/routing/src/Retry.cpp
@@ -17,16 +17,17 @@
 // For short timeouts the margin is at most the timeout divided by this.
 constexpr Milliseconds kAnswerMarginDivisor = 10;
 
-constexpr std::array<NameRow<AttemptOutcome>, 6> kOutcomeNames{ {
+constexpr std::array<NameRow<AttemptOutcome>, 7> kOutcomeNames{ {
   { AttemptOutcome::Done, "done" },
   { AttemptOutcome::NotRun, "not_run" },
   { AttemptOutcome::Overloaded, "no_room" },
   { AttemptOutcome::TurnedAway, "turned_away" },
   { AttemptOutcome::Failed, "ran_and_failed" },
   { AttemptOutcome::Unknown, "unknown" },
+  { AttemptOutcome::Unresponsive, "unresponsive" },
 } };
 
-constexpr std::array<NameRow<RetryDecision>, 9> kDecisionNames{ {
+constexpr std::array<NameRow<RetryDecision>, 10> kDecisionNames{ {
   { RetryDecision::Stop, "answer_stands" },
   { RetryDecision::StopHandovers, "handovers_used_up" },
   { RetryDecision::StopAttempts, "attempts_used_up" },
@@ -34,6 +35,7 @@
   { RetryDecision::StopBudget, "retry_budget_spent" },
   { RetryDecision::StopNoTarget, "no_other_target" },
   { RetryDecision::StopFull, "targets_full" },
+  { RetryDecision::StopInFlight, "another_in_flight" },
   { RetryDecision::TryFree, "try_free" },
   { RetryDecision::TryCharged, "try_charged" },
 } };
@@ -97,6 +99,7 @@
       return true;
     case AttemptOutcome::Failed:
     case AttemptOutcome::Unknown:
+    case AttemptOutcome::Unresponsive:
       return aContext.m_repeat == config::Repeat::Safe;
     case AttemptOutcome::Done:
       return false;
--- a/tests/whole/outcomes.sh
+++ b/tests/whole/outcomes.sh
@@ -27,6 +27,9 @@
 # cancelled_count N: how many requests were cancelled while they ran at target N.
 cancelled_count() { report_of "$1" cancelled; }
 
+# avoided_count: how often node 1 began to avoid a target.
+avoided_count() { grep -c 'event=target_avoided' "$MESH_DIR/node-1.log"; }
+
 expect "plain" "200 " "$(send plain)"
 expect "runs of plain" 1 "$(runs_of plain)"
 keep_only_target 3
@@ -40,9 +43,13 @@
 # If the caller disconnects, a request that may be repeated is cancelled and frees its slot. A request that
 # may run only once is not cancelled while it runs: it ends by itself.
 before=$(cancelled_count 3)
+sleep 1.1 # A line of the same cause is written once a second.
+avoided_before=$(avoided_count)
 curl -s -o /dev/null -m 0.1 -H "X-Request-Id: left-safe" "http://$(caller_of 1)/jobs/1"
 slot_freed() { [ "$(cancelled_count 3)" -gt "$before" ]; }
 wait_for 5 slot_freed || fail "a caller that disconnected did not free its slot"
+sleep 0.3
+expect "targets avoided because a caller left" "$avoided_before" "$(avoided_count)"
 before=$(cancelled_count 3)
 send left -m 0.1 >/dev/null
 sleep 0.6
