--- a/tools/Hostile.cpp
+++ b/tools/Hostile.cpp
@@ -51,6 +51,8 @@
   std::size_t m_bodyBytes = 0;
   /// File that holds the bytes of a target's answer; read anew for each answer.
   std::string m_answerFile;
+  /// Pause of a client between its connect and its first bytes.
+  Milliseconds m_quietMs = 0;
   Instant m_deadline;
 };
 
@@ -438,6 +440,7 @@
     } else {
       ++aClient->m_counts.m_connections;
       aClient->m_socket.non_blocking(true, error);
+      co_await Sleep(*aClient, aClient->m_options.m_quietMs);
       co_await aBehaviour.m_play(*aClient);
     }
     aClient->m_socket.close(error);
@@ -503,6 +506,7 @@
                               .m_bodyBytes =
                                 static_cast<std::size_t>(aOptions.Number("body-bytes", 0)),
                               .m_answerFile = aOptions.Text("answer-file", ""),
+                              .m_quietMs = aOptions.Number("quiet-ms", 0),
                               .m_deadline = Clock::Now() + lifetimeMs };
   CrowdCounts counts;
   tcp::acceptor acceptor(context);
