Let calls in progress go on when their link falls silent

What callers saw: 502 for requests that may run more than once while a target was at work on them, with and without a stop of the near node. The same requests on routes that may run once were all answered. Cause: a link without a sign of life for about 0.55 s was taken for dead. The near node gave the repeatable calls on it up, cancelled their runs and sent them elsewhere; where the other targets were full, or silent for the same reason, the request ended there. Silence doesn't tell a slow node from a dead one. Change: silence ends no call in progress. It is reported to the call, which marks the target as one to avoid and may add an attempt elsewhere, charged to the retry budget and within the route's attempts. The first success is the answer and the other run is cancelled. A call is given up early only when its connection closes. One that may run only once and of whose body the silent node lacks a part is still withdrawn, since it can't run there. The new cases of CallLinksTest fail before: the call ends as LinkBroken after 0.55 s.

--- a/modules/node/src/CallLinks.cpp
+++ b/modules/node/src/CallLinks.cpp
@@ -456,9 +456,9 @@
   aCall.m_timer.cancel();
 }
 
-// The peer froze, was partitioned from this node, or only the connection is dead. The next call
-// opens a new connection. Calls that may run only once and may be running keep waiting on the old
-// one, since their answer may still arrive.
+// The peer froze, was partitioned from this node, is slow, or only the connection is dead. The next
+// call opens a new connection. Calls keep waiting on the old one, since their answers may still
+// arrive; only one that may run once and can't run yet is withdrawn, to be sent elsewhere.
 void
 CallLinks::DropSilent(const std::string& aNode, const LinkPtr& aLink)
 {
@@ -469,7 +469,7 @@
   m_silentNodes[aNode] = Clock::Now();
   m_links.erase(aNode);
   for (const auto& [id, call] : aLink->m_pending) {
-    if (call->m_repeatable || !call->MayRun()) {
+    if (!call->m_repeatable && !call->MayRun()) {
       FailCall(*call);
     } else if (call->m_onSilent) {
       call->m_onSilent();
--- a/modules/node/tests/CallLinksTest.cpp
+++ b/modules/node/tests/CallLinksTest.cpp
@@ -1,8 +1,10 @@
 // Calls over a link to another node that is played by the test.
 #include "../src/CallLinks.h"
 #include "Address.h"
+#include "HttpServer.h"
 #include "RunUntil.h"
 
+#include <chrono>
 #include <doctest/doctest.h>
 #include <memory>
 #include <optional>
@@ -20,13 +22,15 @@
 const Identity kNear{ .m_mesh = "m", .m_node = "near" };
 const Identity kFar{ .m_mesh = "m", .m_node = "far" };
 
-// A node that gives the same answer to every call.
+// A node that gives the same answer to every call, and answers no probe.
 class AnsweringNode
 {
 public:
-  AnsweringNode(asio::io_context& aContext, AnswerT aAnswer)
+  AnsweringNode(asio::io_context& aContext, AnswerT aAnswer, Milliseconds aDelayMs = 0)
     : m_acceptor(aContext, { asio::ip::make_address("127.0.0.1"), 0 })
+    , m_timer(aContext)
     , m_answer(std::move(aAnswer))
+    , m_delayMs(aDelayMs)
   {
     asio::co_spawn(aContext, Serve(), asio::detached);
   }
@@ -48,14 +52,19 @@
   void Answer(wire::EnvelopeT aMessage)
   {
     if (aMessage.body.type == wire::Body::Call) {
-      AnswerT answer(m_answer);
-      answer.id = aMessage.body.AsCall()->id;
-      m_connection->Send(wire::EncodeFrame(wire::MakeEnvelope(std::move(answer))));
+      m_timer.expires_after(std::chrono::milliseconds(m_delayMs));
+      m_timer.async_wait([this, id = aMessage.body.AsCall()->id](const net::error_code&) {
+        AnswerT answer(m_answer);
+        answer.id = id;
+        m_connection->Send(wire::EncodeFrame(wire::MakeEnvelope(std::move(answer))));
+      });
     }
   }
 
   net::tcp::acceptor m_acceptor;
+  asio::steady_timer m_timer;
   AnswerT m_answer;
+  Milliseconds m_delayMs;
   std::unique_ptr<net::FrameConnection> m_connection;
 };
 
@@ -69,26 +78,43 @@
   return answer;
 }
 
-// How a call to a node ends that gives this answer.
-CallReply::Kind
-KindOfReply(const AnswerT& aAnswer, bool aForwarded = false)
+// How a call ended, and how often its caller was told that the node is silent.
+struct CallEnd
 {
+  CallReply::Kind m_kind;
+  int m_silent = 0;
+};
+
+// Sends a call to a node that gives aAnswer after aDelayMs.
+CallEnd
+SendCall(wire::CallT aCall, const AnswerT& aAnswer, Milliseconds aDelayMs)
+{
+  constexpr std::int64_t kTimeoutMs = 3000;
   asio::io_context context(1);
-  AnsweringNode far(context, aAnswer);
+  AnsweringNode far(context, aAnswer, aDelayMs);
   SharedState shared;
   const auto budget = std::make_shared<net::ByteBudget>(net::ByteBudget{ .m_max = 1U << 20 });
   CallLinks links(context, kNear, shared, budget);
-  wire::CallT call;
-  call.repeatable = true;
-  call.forwarded = aForwarded;
-  call.timeout_ms = 1000;
+  aCall.timeout_ms = kTimeoutMs;
+  int silent = 0;
   std::optional<CallReply> reply;
-  asio::co_spawn(context,
-                 links.Call("far", far.Address(), std::move(call), 1000),
-                 [&](const std::exception_ptr&, CallReply aReply) { reply = std::move(aReply); });
+  asio::co_spawn(
+    context,
+    links.Call("far", far.Address(), std::move(aCall), kTimeoutMs, [&silent] { ++silent; }),
+    [&](const std::exception_ptr&, CallReply aReply) { reply = std::move(aReply); });
   REQUIRE(RunUntil(context, [&] { return reply.has_value(); }));
   links.Stop();
-  return reply->m_kind;
+  return { .m_kind = reply->m_kind, .m_silent = silent };
+}
+
+// How a call to a node ends that gives this answer.
+CallReply::Kind
+KindOfReply(const AnswerT& aAnswer, bool aForwarded = false)
+{
+  wire::CallT call;
+  call.repeatable = true;
+  call.forwarded = aForwarded;
+  return SendCall(std::move(call), aAnswer, 0).m_kind;
 }
 
 } // namespace
@@ -121,3 +147,27 @@
     CHECK(KindOfReply(MakeAnswer(outcome, 503), true) == CallReply::Kind::Answered);
   }
 }
+
+TEST_CASE("a call in progress is not given up when the node beside its target falls silent")
+{
+  constexpr Milliseconds kLongSilenceMs = 900;
+  for (const bool repeatable : { true, false }) {
+    CAPTURE(repeatable);
+    wire::CallT call;
+    call.repeatable = repeatable;
+    const CallEnd end =
+      SendCall(std::move(call), MakeAnswer(CallOutcome::Done, 200), kLongSilenceMs);
+    CHECK(end.m_kind == CallReply::Kind::Answered);
+    CHECK(end.m_silent == 1);
+  }
+}
+
+TEST_CASE("a call that may run once is withdrawn from a silent node that lacks a part of its body")
+{
+  constexpr Milliseconds kLongSilenceMs = 900;
+  wire::CallT call;
+  call.body.assign(net::kMaxSmallBodyBytes + 1, 'x');
+  const CallEnd end = SendCall(std::move(call), MakeAnswer(CallOutcome::Done, 200), kLongSilenceMs);
+  CHECK(end.m_kind == CallReply::Kind::NotSent);
+  CHECK(end.m_silent == 0);
+}
