Split CallLinks.cpp: the calls, the liveness of links, and asks for quota tokens

Liveness (probes, silent links) and the asks for quota tokens move to files of their own, the state that they share to CallLinksPriv.h.

--- a/modules/node/src/CallLinks.cpp
+++ b/modules/node/src/CallLinks.cpp
@@ -1,13 +1,12 @@
+// Links to other nodes and the calls on them.
 #include "CallLinks.h"
-
+#include "CallLinksPriv.h"
 #include "HttpServer.h"
 #include "LinkLiveness.h"
 #include "Log.h"
 
 #include <algorithm>
 #include <chrono>
-#include <set>
-#include <vector>
 
 namespace sequoiastep::node {
 
@@ -20,11 +19,8 @@
 // Maximum wait of a call for a link that is being opened; after it the call may be tried at another
 // node.
 constexpr Milliseconds kMaxConnectWaitMs = 500;
-constexpr Milliseconds kReviewIntervalMs = 50;
 // Other frames of the link are sent between two chunks.
 constexpr std::size_t kBodyChunkBytes = 16U << 10;
-// How long a node that could not be reached counts as silent.
-constexpr Milliseconds kSilentNodeMs = 5000;
 // How long a link without calls stays open after an ask for quota tokens.
 constexpr Milliseconds kAskLinkIdleMs = 30'000;
 
@@ -40,59 +36,6 @@
 
 } // namespace
 
-// A call that waits for its answer. The wait ends when the timer expires or is cancelled.
-struct CallLinks::PendingCall
-{
-  PendingCall(asio::io_context& aContext,
-              std::int64_t aTimeoutMs,
-              bool aRepeatable,
-              OnSilent aOnSilent)
-    : m_timer(aContext, std::chrono::milliseconds(aTimeoutMs))
-    , m_repeatable(aRepeatable)
-    , m_onSilent(std::move(aOnSilent))
-  {
-  }
-
-  /// Returns true if the peer may have the whole request. It runs nothing before.
-  bool MayRun() const { return m_bodySent == m_body.size(); }
-
-  asio::steady_timer m_timer;
-  bool m_repeatable;
-  OnSilent m_onSilent;
-  /// Body that is sent in chunks; empty if the call itself carries it.
-  std::vector<std::uint8_t> m_body;
-  std::size_t m_bodySent = 0;
-  /// The link that it was sent over, and its id there.
-  std::weak_ptr<Link> m_link;
-  std::uint64_t m_id = 0;
-  CallReply m_reply{ .m_kind = CallReply::Kind::TimedOut, .m_answer = {} };
-};
-
-// An ask for quota tokens that waits for its reply. The wait ends when the timer expires or is
-// cancelled.
-struct CallLinks::PendingAsk
-{
-  asio::steady_timer m_timer;
-  std::optional<wire::QuotaGrantT> m_grant;
-};
-
-// The link to one node; exists from the first call to it, while the connection is still opened.
-struct CallLinks::Link
-{
-  bool m_connecting = true;
-  std::unique_ptr<net::FrameConnection> m_connection;
-  /// Calls that wait for an answer, by call id.
-  std::map<std::uint64_t, PendingCall*> m_pending;
-  /// Asks for quota tokens that wait for a reply, by ask id.
-  std::map<std::uint64_t, PendingAsk*> m_asks;
-  std::optional<Instant> m_askedAt;
-  routing::LinkLiveness m_liveness;
-  /// Bytes received until the last RecordReceivedBytes().
-  std::uint64_t m_receivedBytes = 0;
-  /// Timers of calls that, before they are sent, wait for the connection or for a sign of life.
-  std::set<asio::steady_timer*> m_waiters;
-};
-
 CallLinks::CallLinks(asio::io_context& aContext,
                      Identity aIdentity,
                      SharedState& aShared,
@@ -184,37 +127,6 @@
   }
 }
 
-// Any received bytes show that the peer is alive, also those of a large answer that is still
-// incomplete.
-void
-CallLinks::RecordReceivedBytes(Link& aLink, Instant aNow)
-{
-  const std::uint64_t received = aLink.m_connection->Bytes().m_received;
-  if (received != aLink.m_receivedBytes) {
-    aLink.m_receivedBytes = received;
-    routing::RecordReceived(aLink.m_liveness, aNow);
-  }
-}
-
-void
-CallLinks::SendProbe(Link& aLink)
-{
-  routing::RecordProbe(aLink.m_liveness, Clock::Now());
-  aLink.m_connection->Send(wire::EncodeFrame(wire::MakeEnvelope(wire::ProbeT())));
-}
-
-// Waits for a sign of life on a link that has been quiet. Without one the call is not sent, so it
-// certainly does not run at that node.
-Awaitable<bool>
-CallLinks::ConfirmAlive(LinkPtr aLink)
-{
-  if (routing::IsFresh(aLink->m_liveness, Clock::Now())) {
-    co_return true;
-  }
-  co_await WaitForWake(aLink, routing::kLinkSilentMs);
-  co_return routing::IsFresh(aLink->m_liveness, Clock::Now());
-}
-
 Awaitable<CallReply>
 CallLinks::Call(std::string aNode,
                 std::string aAddress,
@@ -307,81 +219,6 @@
   link->m_connection->Send(wire::EncodeFrame(aMessage));
 }
 
-void
-CallLinks::StartLivenessLoop()
-{
-  if (!m_livenessLoopRuns) {
-    m_livenessLoopRuns = true;
-    asio::co_spawn(m_context, LivenessLoop(), asio::detached);
-  }
-}
-
-Awaitable<std::optional<wire::QuotaGrantT>>
-CallLinks::AskQuota(std::string aNode,
-                    std::string aAddress,
-                    wire::QuotaAskT aAsk,
-                    Milliseconds aTimeoutMs)
-{
-  const Instant start = Clock::Now();
-  const LinkPtr link = co_await OpenLink(aNode, std::move(aAddress), aTimeoutMs);
-  const Milliseconds left = aTimeoutMs - (Clock::Now() - start);
-  if (!link || left <= 0) {
-    co_return std::nullopt;
-  }
-  PendingAsk pending{ .m_timer = asio::steady_timer(m_context, std::chrono::milliseconds(left)),
-                      .m_grant = std::nullopt };
-  aAsk.id = m_nextId++;
-  const std::uint64_t id = aAsk.id;
-  link->m_askedAt = Clock::Now();
-  link->m_asks.emplace(id, &pending);
-  struct RemoveAsk
-  {
-    Link& m_link;
-    std::uint64_t m_id;
-    ~RemoveAsk() { m_link.m_asks.erase(m_id); }
-  };
-  const RemoveAsk removeAsk{ .m_link = *link, .m_id = id };
-  link->m_connection->Send(wire::EncodeFrame(wire::MakeEnvelope(std::move(aAsk))));
-  co_await pending.m_timer.async_wait(kAsTuple);
-  if (!pending.m_grant && link->m_connection->IsOpen()) {
-    // A peer of an older build answers the probe only. A dead link is found and dropped.
-    RecordReceivedBytes(*link, Clock::Now());
-    if (routing::NeedsProbe(link->m_liveness, Clock::Now())) {
-      SendProbe(*link);
-      StartLivenessLoop();
-    }
-  }
-  co_return std::move(pending.m_grant);
-}
-
-// The ask may have timed out meanwhile; its tokens then stay unused.
-void
-CallLinks::ReceiveGrant(Link& aLink, const wire::QuotaGrantT& aGrant)
-{
-  const auto found = aLink.m_asks.find(aGrant.id);
-  if (found != aLink.m_asks.end()) {
-    found->second->m_grant = aGrant;
-    found->second->m_timer.cancel();
-  }
-}
-
-void
-CallLinks::ForgetSilentNodes(Instant aNow)
-{
-  std::erase_if(m_silentNodes,
-                [&](const auto& aItem) { return aNow - aItem.second > kSilentNodeMs; });
-}
-
-LinkSample
-CallLinks::Sample(Instant aNow)
-{
-  ForgetSilentNodes(aNow);
-  const auto heard = std::count_if(m_links.begin(), m_links.end(), [&](const auto& aItem) {
-    return aItem.second->m_connection && !m_silentNodes.contains(aItem.first);
-  });
-  return { .m_heard = static_cast<std::size_t>(heard), .m_silent = m_silentNodes.size() };
-}
-
 // Sends the bytes of a call's body that the peer granted.
 void
 CallLinks::SendBody(Link& aLink, const wire::BodyGrantT& aGrant)
@@ -456,67 +293,6 @@
   aCall.m_timer.cancel();
 }
 
-// The peer froze, was partitioned from this node, is slow, or only the connection is dead. The next
-// call opens a new connection. Calls keep waiting on the old one, since their answers may still
-// arrive; only one that may run once and can't run yet is withdrawn, to be sent elsewhere.
-void
-CallLinks::DropSilent(const std::string& aNode, const LinkPtr& aLink)
-{
-  LogLine(LogLevel::Info, "call_link_silent", aNode)
-    .Add("peer", aNode)
-    .Add("heard_ms_ago", Clock::Now() - aLink->m_liveness.m_heardAt)
-    .Add("waiting_calls", aLink->m_pending.size());
-  m_silentNodes[aNode] = Clock::Now();
-  m_links.erase(aNode);
-  for (const auto& [id, call] : aLink->m_pending) {
-    if (!call->m_repeatable && !call->MayRun()) {
-      FailCall(*call);
-    } else if (call->m_onSilent) {
-      call->m_onSilent();
-    }
-  }
-}
-
-// True if calls wait for answers on the link or a probe is unanswered.
-bool
-CallLinks::NeedsLivenessCheck(const Link& aLink)
-{
-  return aLink.m_connection && (!aLink.m_pending.empty() || aLink.m_liveness.m_probedAt);
-}
-
-void
-CallLinks::ReviewLinks(Instant aNow)
-{
-  std::vector<std::string> silent;
-  for (const auto& [node, link] : m_links) {
-    if (!NeedsLivenessCheck(*link)) {
-      continue;
-    }
-    RecordReceivedBytes(*link, aNow);
-    if (routing::IsSilent(link->m_liveness, aNow)) {
-      silent.push_back(node);
-    } else if (routing::NeedsProbe(link->m_liveness, aNow)) {
-      SendProbe(*link);
-    }
-  }
-  for (const std::string& node : silent) {
-    const LinkPtr link = m_links.at(node); // DropSilent erases the one in the map.
-    DropSilent(node, link);
-  }
-}
-
-Awaitable<void>
-CallLinks::LivenessLoop()
-{
-  const auto needsCheck = [](const auto& aItem) { return NeedsLivenessCheck(*aItem.second); };
-  do {
-    asio::steady_timer timer(m_context, std::chrono::milliseconds(kReviewIntervalMs));
-    co_await timer.async_wait(kAsTuple);
-    ReviewLinks(Clock::Now());
-  } while (!m_stopped && std::any_of(m_links.begin(), m_links.end(), needsCheck));
-  m_livenessLoopRuns = false;
-}
-
 void
 CallLinks::ShortenCalls(Instant aAt)
 {
