silent-links.sh: begin each case only when no run of an earlier one is left

One run of four gave busy-unsafe 503 for all six (not run): runs that the near node had given up in the case before still held the slots, and were taken for the requests of this case. Now the case waits until the targets are idle.

--- a/tests/whole/silent-links.sh
+++ b/tests/whole/silent-links.sh
@@ -38,7 +38,9 @@
 }
 
 check() { [ "$2" = "$3" ] || FAILURES+=("$1"); }
-at_work() { [ $(($(report_of 2 running) + $(report_of 3 running))) = "$REQUESTS" ]; }
+running() { echo $(($(report_of 2 running) + $(report_of 3 running))); }
+at_work() { [ "$(running)" = "$REQUESTS" ]; }
+idle() { [ "$(running)" = 0 ]; }
 silences() { cat "$MESH_DIR"/node-1.log 2>/dev/null | grep -c 'event=call_link_silent'; }
 
 # start_requests NAME safe|unsafe WORK_MS: sends the requests through node 1, until all are at work at once; sets IDS.
@@ -47,6 +49,7 @@
   [ "$kind" = safe ] || { path=bookings; method=POST; }
   for i in 2 3; do set_work $i "$3"; done
   for round in $(seq 8); do
+    wait_for 20 idle || fail "runs of earlier requests don't end"
     CALLERS=()
     IDS="$1-$round"
     for i in $(seq $REQUESTS); do
