HttpClient: a reset during an upload no longer ends a response as whole

What callers saw: a target read little of an upload of 6 MB, sent 200 without a length and 1,000 bytes, and reset the connection 30 to 400 ms later. The caller got these bytes as the whole answer.

Cause: Linux reports a reset or a time-out of a connection once, to the first call on its socket. Asio tries the pending write before the read, so the write of the upload got ECONNRESET and the read then got the bytes received and an end of file, as after a FIN. The error of the write was only used to keep the connection out of the pool.

Change: RequestWriter writes the request and keeps the first error of its writes. When a response whose body lasts until the connection ends has met the end of file, the rest of the write is given up, which takes no wait for the peer, and any error but EPIPE fails the response as truncated.

Why EPIPE is an end by the peer, seen on plain sockets (Linux 6.18) with a write pending and data unread: after a reset the write gets ECONNRESET, after a user timeout ETIMEDOUT, the reads then 0 bytes; after a FIN that a reset follows the write gets EPIPE; after a FIN alone it stays pending. When the read is the first, it gets ECONNRESET or ETIMEDOUT itself. Poll and TCP_INFO aren't asked: they can't tell a reset from a FIN that a reset follows.

--- a/modules/net/src/HttpClient.cpp
+++ b/modules/net/src/HttpClient.cpp
@@ -1,10 +1,10 @@
 #include "HttpClient.h"
 
 #include "Clock.h"
+#include "RequestWriter.h"
 #include "ResponseStatus.h"
 #include "SocketOptions.h"
 
-#include <boost/asio/write.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/ostream.hpp>
 #include <boost/beast/http.hpp>
@@ -38,14 +38,14 @@
   explicit PooledConnection(asio::io_context& aContext)
     : m_socket(aContext)
     , m_timer(aContext)
+    , m_writer(m_socket)
   {
   }
 
   tcp::socket m_socket;
   asio::steady_timer m_timer;
+  RequestWriter m_writer;
   beast::flat_buffer m_buffer{ kMaxUnparsedBytes };
-  std::string m_requestBytes;
-  bool m_writeIncomplete = false;
   bool m_timedOut = false;
   Instant m_reusableUntil;
 };
@@ -238,6 +238,10 @@
       co_return http::error::body_limit;
     }
   }
+  if (aParser.need_eof()) {
+    const error_code writeError = co_await aConnection->m_writer.Stop();
+    co_return IsEndByPeer(writeError) ? error_code() : writeError;
+  }
   co_return error_code();
 }
 
@@ -279,33 +283,6 @@
   return text;
 }
 
-Awaitable<void>
-WriteRemainder(PooledPtr aConnection, std::size_t aOffset)
-{
-  const auto remainder = asio::buffer(aConnection->m_requestBytes) + aOffset;
-  const auto [error, size] = co_await asio::async_write(aConnection->m_socket, remainder, kAsTuple);
-  aConnection->m_writeIncomplete = static_cast<bool>(error);
-}
-
-// Writes what the socket accepts at once and the remainder concurrently with the read, because the
-// server may respond before it has read the whole request.
-error_code
-StartWrite(HttpClientState& aState, const PooledPtr& aConnection, const HttpRequest& aRequest)
-{
-  aConnection->m_requestBytes = Serialize(aRequest);
-  error_code error;
-  const std::size_t sent =
-    aConnection->m_socket.write_some(asio::buffer(aConnection->m_requestBytes), error);
-  if (error && error != asio::error::would_block) {
-    return error;
-  }
-  aConnection->m_writeIncomplete = sent < aConnection->m_requestBytes.size();
-  if (aConnection->m_writeIncomplete) {
-    asio::co_spawn(aState.m_context, WriteRemainder(aConnection, sent), asio::detached);
-  }
-  return {};
-}
-
 Awaitable<error_code>
 Connect(HttpClientState& aState, PooledPtr aConnection, Milliseconds aTimeoutMs)
 {
@@ -326,7 +303,7 @@
 ReturnToPool(HttpClientState& aState, CloseGuard& aGuard, const HttpResponse& aResponse)
 {
   PooledConnection& connection = *aGuard.m_connection;
-  const bool reusable = connection.m_buffer.size() == 0 && !connection.m_writeIncomplete;
+  const bool reusable = connection.m_buffer.size() == 0 && !connection.m_writer.IsIncomplete();
   if (!reusable || !aResponse.keep_alive() ||
       aState.m_idle.size() >= aState.m_options.m_maxIdleConnections) {
     return;
@@ -374,7 +351,7 @@
     }
   }
   CloseAfter(connection, std::max<Milliseconds>(1, deadline - Clock::Now()));
-  const error_code writeError = StartWrite(*state, connection, aRequest);
+  const error_code writeError = connection->m_writer.Start(Serialize(aRequest), connection);
   if (writeError) {
     co_return MakeFailure(HttpFailure::MaybeSent, writeError.message());
   }
--- a/modules/net/src/HttpServerState.h
+++ b/modules/net/src/HttpServerState.h
@@ -5,6 +5,7 @@
 #include "ByteBudget.h"
 #include "Clock.h"
 #include "HttpServer.h"
+#include "HttpWakeup.h"
 
 #include <boost/asio/cancellation_signal.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
@@ -41,20 +42,6 @@
 
 using HttpExchangePtr = std::shared_ptr<HttpExchange>;
 
-/// Suspends coroutines until Wake: a timer that never expires and is cancelled to resume them.
-struct HttpWakeup
-{
-  explicit HttpWakeup(const asio::any_io_executor& aExecutor)
-    : m_timer(aExecutor, std::chrono::steady_clock::time_point::max())
-  {
-  }
-
-  Awaitable<void> Wait() { co_await m_timer.async_wait(kAsTuple); }
-  void Wake() { m_timer.cancel(); }
-
-  asio::steady_timer m_timer;
-};
-
 /// A connection of a client.
 struct HttpConnection
 {
--- a/tests/whole/broken-answers.sh
+++ b/tests/whole/broken-answers.sh
@@ -26,7 +26,15 @@
 }
 SOUND='HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\nsound'
 answer "$SOUND"
-start_process broken "$BIN/hostile" listen="$(target_of 1)" behaviour=file answer-file="$ANSWER" seconds=600
+# start_broken BEHAVIOUR: (re)starts the broken target.
+start_broken() {
+  [ -z "${BROKEN_PID:-}" ] || { kill "$BROKEN_PID"; wait "$BROKEN_PID"; } 2>/dev/null
+  start_process "broken-$1" "$BIN/hostile" listen="$(target_of 1)" behaviour="$1" answer-file="$ANSWER" seconds=600
+  BROKEN_PID=$LAST_PID
+  wait_for 5 target_listens || fail "the broken target does not listen"
+}
+target_listens() { (exec 3<>"/dev/tcp/127.0.0.1/$(port 1 4)"); }
+start_broken file
 announce() { curl -sf -d '{"service":"'"$1"'","address":"'"$(target_of 1)"'","slots":8,"ttl_ms":600000,"state":"up"}' "http://$(announce_of 1)/target/v1/announce"; }
 # announce_as SERVICE: makes the broken target one of that service, and waits until the nodes know.
 announce_as() {
@@ -107,6 +115,27 @@
 check "repeat of the key" "504 unknown " "$(ask 3 /once/1 -H "Idempotency-Key: $key" -d one)"
 check "repeat of the own key" "504 unknown " "$(ask 1 /once/1 -H "Idempotency-Key: order-40" -d one)"
 
+# Answers without a length whose connection is reset or ended while a long upload is being written.
+head -c 6000000 /dev/zero >"$MESH_DIR/upload"
+# early N HEAD EXPECTED: uploads through node N to a target that answers early with that head and part of a body.
+early() {
+  answer "$2sound"
+  check "$BEHAVIOUR through node $1 after $2" "$3" "$(ask "$1" /once/1 --data-binary "@$MESH_DIR/upload" -H 'Expect:')"
+}
+for BEHAVIOUR in early-reset early-end; do
+  start_broken $BEHAVIOUR
+  for n in 1 3; do
+    for head in 'HTTP/1.1 200 OK' 'HTTP/1.0 200 OK' 'HTTP/1.1 200 OK\r\nConnection: close' 'HTTP/1.1 404 Not Found'; do
+      status=${head#* } status=${status%% *}
+      [ $BEHAVIOUR = early-end ] && expected="$status  sound" || expected="502 unknown "
+      early $n "$head\r\n\r\n" "$expected"
+    done
+    [ $BEHAVIOUR = early-end ] || early $n 'HTTP/1.1 200 OK\r\nContent-Length: 6\r\n\r\n' "502 unknown "
+    [ $BEHAVIOUR = early-end ] || early $n 'HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n' "502 unknown "
+  done
+done
+start_broken file
+
 # Beside two sound targets: what may be repeated is served, what may not is never told a broken answer.
 answer 'HTTP/1.1 000 Odd\r\nContent-Length: 5\r\n\r\nwrong'
 announce_as jobboard
--- a/tools/Hostile.cpp
+++ b/tools/Hostile.cpp
@@ -39,6 +39,11 @@
 constexpr int kSmallReceiveBuffer = 4096;
 // Endless input is sent in blocks of about this size.
 constexpr std::size_t kBlockBytes = 32U << 10;
+// Pause between an early answer and the end of its connection, and how long that end lasts.
+constexpr Milliseconds kEarlyAnswerPauseMs = 100;
+constexpr Milliseconds kHalfClosedMs = 1000;
+// Pause of a target in the middle of reading a request.
+constexpr Milliseconds kReadPauseMs = 4000;
 // Part of an announced body that is sent.
 constexpr std::size_t kBodyPartBytes = 1024;
 
@@ -376,6 +381,46 @@
   }
 }
 
+// The bytes of a file before the rest of the request is read, then a reset.
+Awaitable<void>
+AnswerReset(Client& aClient)
+{
+  co_await Send(aClient, ReadFile(aClient.m_options.m_answerFile));
+  co_await Sleep(aClient, kEarlyAnswerPauseMs);
+  net::error_code ignored;
+  aClient.m_socket.set_option(asio::socket_base::linger(true, 0), ignored);
+}
+
+// The bytes of a file before the rest of the request is read, then the end of the sending side.
+Awaitable<void>
+AnswerEnd(Client& aClient)
+{
+  co_await Send(aClient, ReadFile(aClient.m_options.m_answerFile));
+  co_await Sleep(aClient, kEarlyAnswerPauseMs);
+  net::error_code ignored;
+  aClient.m_socket.shutdown(tcp::socket::shutdown_send, ignored);
+  co_await Sleep(aClient, kHalfClosedMs);
+}
+
+// Stops reading for a while, then reads a body of the size in the options and answers with the
+// bytes of a file.
+Awaitable<void>
+AnswerLate(Client& aClient)
+{
+  co_await Sleep(aClient, kReadPauseMs);
+  std::array<char, 4096> bytes{};
+  std::size_t received = 0;
+  while (received < aClient.m_options.m_bodyBytes) {
+    const auto [error, size] =
+      co_await aClient.m_socket.async_read_some(asio::buffer(bytes), kAsTuple);
+    received += size;
+    if (error) {
+      co_return;
+    }
+  }
+  co_await Send(aClient, ReadFile(aClient.m_options.m_answerFile));
+}
+
 struct Behaviour
 {
   Play m_play;
@@ -416,6 +461,9 @@
     { "interim", { .m_play = AnswerInterim } },
     { "body", { .m_play = AnswerBody } },
     { "file", { .m_play = AnswerFile } },
+    { "early-reset", { .m_play = AnswerReset } },
+    { "early-end", { .m_play = AnswerEnd } },
+    { "late", { .m_play = AnswerLate } },
   };
   return kBehaviours;
 }
