--- a/review/common-3/standin.h
+++ b/review/common-3/standin.h
@@ -1,5 +1,5 @@
-// Helpers of the third review's scripts: HTTP/1.1 over blocking sockets, a stand-in for the platform's store, and
-// nodes as child processes. Everything listens on 127.0.0.1.
+// Helpers of the third review's scripts: HTTP/1.1 over blocking sockets, a stand-in for the
+// platform's store, and nodes as child processes. Everything listens on 127.0.0.1.
 #pragma once
 
 #include <arpa/inet.h>
@@ -87,7 +87,8 @@
     ::setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &aReceiveBytes, sizeof aReceiveBytes);
   }
   const sockaddr_in address = Address(aPort);
-  if (::bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 || ::listen(fd, 256) != 0) {
+  if (::bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) != 0 ||
+      ::listen(fd, 256) != 0) {
     ::close(fd);
     return -1;
   }
@@ -160,7 +161,8 @@
   std::string Header(std::string_view aName) const
   {
     for (const auto& [name, value] : m_headers) {
-      if (name.size() == aName.size() && ::strncasecmp(name.data(), aName.data(), name.size()) == 0) {
+      if (name.size() == aName.size() &&
+          ::strncasecmp(name.data(), aName.data(), name.size()) == 0) {
         return value;
       }
     }
@@ -225,8 +227,10 @@
         return true;
       }
       const std::size_t colon = line.find(':');
-      const std::size_t value = colon == std::string::npos ? colon : line.find_first_not_of(' ', colon + 1);
-      aMessage.m_headers.emplace_back(line.substr(0, colon), value == std::string::npos ? "" : line.substr(value));
+      const std::size_t value =
+        colon == std::string::npos ? colon : line.find_first_not_of(' ', colon + 1);
+      aMessage.m_headers.emplace_back(line.substr(0, colon),
+                                      value == std::string::npos ? "" : line.substr(value));
     }
     return false;
   }
@@ -284,7 +288,8 @@
   if (stream.m_fd < 0) {
     return answer;
   }
-  std::string request = std::string(aMethod) + " " + std::string(aTarget) + " HTTP/1.1\r\n" + std::string(aHeaders);
+  std::string request =
+    std::string(aMethod) + " " + std::string(aTarget) + " HTTP/1.1\r\n" + std::string(aHeaders);
   request += "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n";
   request += aBody;
   if (WriteAll(stream.m_fd, request)) {
@@ -353,12 +358,14 @@
 
   static std::string Base64(std::string_view aBytes)
   {
-    static const char* kLetters = "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
+    static const char* kLetters =
+      "ABCDEFGHIJKLMNOPQRSTUVWXYZabcdefghijklmnopqrstuvwxyz0123456789+/";
     std::string text;
     for (std::size_t i = 0; i < aBytes.size(); i += 3) {
       std::uint32_t group = 0;
       for (std::size_t j = 0; j < 3; ++j) {
-        group = group << 8 | (i + j < aBytes.size() ? static_cast<unsigned char>(aBytes[i + j]) : 0);
+        group =
+          group << 8 | (i + j < aBytes.size() ? static_cast<unsigned char>(aBytes[i + j]) : 0);
       }
       for (std::size_t j = 0; j < 4; ++j) {
         text += i + j > aBytes.size() ? '=' : kLetters[group >> (18 - 6 * j) & 63];
@@ -372,7 +379,8 @@
     std::size_t at = aTarget.find('?');
     while (at != std::string::npos) {
       const std::size_t end = aTarget.find('&', at + 1);
-      const std::string pair = aTarget.substr(at + 1, end == std::string::npos ? end : end - at - 1);
+      const std::string pair =
+        aTarget.substr(at + 1, end == std::string::npos ? end : end - at - 1);
       if (pair.starts_with(aKey + "=")) {
         return pair.substr(aKey.size() + 1);
       }
@@ -419,7 +427,10 @@
     return Answer(404, "", "");
   }
 
-  static std::string Json(const std::string& aBody) { return Answer(200, "Content-Type: application/json\r\n", aBody); }
+  static std::string Json(const std::string& aBody)
+  {
+    return Answer(200, "Content-Type: application/json\r\n", aBody);
+  }
 
   std::string Read(const std::string& aTopic, const std::string& aFrom, const std::string& aWait)
   {
@@ -447,10 +458,11 @@
     }
     std::string items;
     for (const auto& [key, value] : newest) {
-      items += (items.empty() ? "" : ",") + std::string("{\"key\":\"") + key + "\",\"value\":\"" + Base64(value.first) +
-               "\",\"offset\":" + std::to_string(value.second) + "}";
+      items += (items.empty() ? "" : ",") + std::string("{\"key\":\"") + key + "\",\"value\":\"" +
+               Base64(value.first) + "\",\"offset\":" + std::to_string(value.second) + "}";
     }
-    return Json("{\"items\":[" + items + "],\"has_more\":false,\"end\":" + std::to_string(topic.size()) + "}");
+    return Json("{\"items\":[" + items +
+                "],\"has_more\":false,\"end\":" + std::to_string(topic.size()) + "}");
   }
 
   std::mutex m_mutex;
@@ -479,13 +491,20 @@
 SettingsOf(const Node& aNode, int aStore, const std::string& aExtra)
 {
   const auto at = [](int aPort) { return "\"127.0.0.1:" + std::to_string(aPort) + "\""; };
-  return "{\"mesh\":\"mesh\",\"node\":\"" + aNode.m_name + "\",\"region\":\"hobart\",\"failure_domain\":\"" + aNode.m_zone +
-         "\",\"caller\":{\"listen\":" + at(aNode.m_outbound) + "},\"target\":{\"listen\":" + at(aNode.m_control) +
-         ",\"service\":\"" + aNode.m_service + "\",\"address\":" + at(aNode.m_app) + "},\"admin\":{\"listen\":" +
-         at(aNode.m_ready) + "},\"metrics\":{\"listen\":" + at(aNode.m_metrics) + "},\"peer\":{\"listen\":" +
-         at(aNode.m_peer) + ",\"link_mbps\":1000.0},\"limits\":{\"memory_mb\":260},\"platform\":{\"log\":" + at(aStore) +
-         ",\"operator_record\":true},\"retries\":{\"ratio\":0.2,\"extra\":60,\"window_ms\":10000}," + aExtra +
-         "\"timings\":{\"join_wait_ms\":400,\"heartbeat_ms\":1000,\"log_timeout_ms\":1000,\"drain_after_ms\":2300,"
+  return "{\"mesh\":\"mesh\",\"node\":\"" + aNode.m_name +
+         "\",\"region\":\"hobart\",\"failure_domain\":\"" + aNode.m_zone +
+         "\",\"caller\":{\"listen\":" + at(aNode.m_outbound) +
+         "},\"target\":{\"listen\":" + at(aNode.m_control) + ",\"service\":\"" + aNode.m_service +
+         "\",\"address\":" + at(aNode.m_app) + "},\"admin\":{\"listen\":" + at(aNode.m_ready) +
+         "},\"metrics\":{\"listen\":" + at(aNode.m_metrics) +
+         "},\"peer\":{\"listen\":" + at(aNode.m_peer) +
+         ",\"link_mbps\":1000.0},\"limits\":{\"memory_mb\":260},\"platform\":{\"log\":" +
+         at(aStore) +
+         ",\"operator_record\":true},\"retries\":{\"ratio\":0.2,\"extra\":60,\"window_ms\":10000}"
+         "," +
+         aExtra +
+         "\"timings\":{\"join_wait_ms\":400,\"heartbeat_ms\":1000,\"log_timeout_ms\":1000,\"drain_"
+         "after_ms\":2300,"
          "\"drain_notice_ms\":300,\"caller_notice_ms\":2600,\"drain_ms\":6000}}";
 }
 
@@ -502,7 +521,12 @@
     const int out = ::open(log.c_str(), O_WRONLY | O_CREAT | O_APPEND, 0644);
     ::dup2(out, 1);
     ::dup2(out, 2);
-    ::execl("target/sequoiastep", "sequoiastep", "node", "--settings", settings.c_str(), static_cast<char*>(nullptr));
+    ::execl("target/sequoiastep",
+            "sequoiastep",
+            "node",
+            "--settings",
+            settings.c_str(),
+            static_cast<char*>(nullptr));
     ::_exit(127);
   }
   Record("node %s started, pid %d", aNode.m_name.c_str(), static_cast<int>(aNode.m_pid));
@@ -546,24 +570,33 @@
 Report(const Node& aNode, const std::string& aId, const char* aCall, const std::string& aBody)
 {
   const std::string path = "/-/instances/" + aId + "/" + aCall;
-  return Send(aNode.m_control, "POST", path, "Host: x\r\nContent-Type: application/json\r\n", aBody, 1000).Status();
+  return Send(aNode.m_control,
+              "POST",
+              path,
+              "Host: x\r\nContent-Type: application/json\r\n",
+              aBody,
+              1000)
+    .Status();
 }
 
 inline std::string
 Beat(const Node& aNode, const std::string& aService, long aBorn, const char* aState, int aSequence)
 {
-  return "{\"address\":\"127.0.0.1:" + std::to_string(aNode.m_app) + "\",\"born\":" + std::to_string(aBorn) +
-         ",\"info\":{\"service\":\"" + aService + "\",\"version\":\"v1\",\"zone\":\"" + aNode.m_zone +
-         "\",\"capacity\":6},\"status\":{\"state\":\"" + aState + "\",\"sequence\":" + std::to_string(aSequence) +
-         ",\"warmup_left_ms\":0}}";
+  return "{\"address\":\"127.0.0.1:" + std::to_string(aNode.m_app) +
+         "\",\"born\":" + std::to_string(aBorn) + ",\"info\":{\"service\":\"" + aService +
+         "\",\"version\":\"v1\",\"zone\":\"" + aNode.m_zone +
+         "\",\"capacity\":6},\"status\":{\"state\":\"" + aState +
+         "\",\"sequence\":" + std::to_string(aSequence) + ",\"warmup_left_ms\":0}}";
 }
 
 inline std::string
 Route(const char* aName, const char* aHost, const char* aKind, const char* aService, int aTimeoutMs)
 {
-  return std::string("{\"resource_kind\":\"routes\",\"metadata\":{\"name\":\"") + aName + "\"},\"spec\":{\"host\":\"" + aHost +
-         "\",\"path_prefix\":\"/" + aName + "/\",\"kind\":\"" + aKind + "\",\"timeout_ms\":" + std::to_string(aTimeoutMs) +
-         ",\"target_latency_ms\":600,\"priority\":1,\"service\":\"" + aService + "\",\"max_attempts\":2}},";
+  return std::string("{\"resource_kind\":\"routes\",\"metadata\":{\"name\":\"") + aName +
+         "\"},\"spec\":{\"host\":\"" + aHost + "\",\"path_prefix\":\"/" + aName +
+         "/\",\"kind\":\"" + aKind + "\",\"timeout_ms\":" + std::to_string(aTimeoutMs) +
+         ",\"target_latency_ms\":600,\"priority\":1,\"service\":\"" + aService +
+         "\",\"max_attempts\":2}},";
 }
 
 inline std::string
@@ -577,7 +610,8 @@
 Configuration(const std::string& aRoutesAndServices)
 {
   return "{\"version\":\"r1\",\"resources\":[" + aRoutesAndServices +
-         "{\"resource_kind\":\"limits\",\"metadata\":{},\"spec\":{\"max_header_bytes\":16384,\"max_body_bytes\":67108864,"
+         "{\"resource_kind\":\"limits\",\"metadata\":{},\"spec\":{\"max_header_bytes\":16384,\"max_"
+         "body_bytes\":67108864,"
          "\"header_timeout_ms\":3000,\"idle_timeout_ms\":15000}}]}";
 }
 
